--- /dev/null
+++ b/src/main/java/gapproxy/Rules.java
@@ -0,0 +1,925 @@
+package gapproxy;
+
+import gapproxy.api.Action;
+import gapproxy.api.Event;
+import gapproxy.api.Event.Outcome;
+import gapproxy.api.Settings;
+import gapproxy.api.Settings.EndpointGroup;
+import gapproxy.api.Settings.Repeat;
+import gapproxy.api.Settings.Role;
+import gapproxy.api.Settings.Scope;
+import gapproxy.api.Settings.Source;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+
+/**
+ * All decisions of one gateway. Its owner calls {@link #step} with the time since the start and what has come
+ * in, and carries out the actions it returns, in order; nothing else goes in or out. The types of both stand in
+ * gapproxy.api. The design (docs/design.md) decides the ordinary path: {@link Req#plan}. Beside it stand six
+ * mechanisms: 1 health (set aside, slow servers count as fuller), 2 time-outs with further forwards, 3 cold
+ * budget, 4 overload pushback, 5 kept-text trust, 6 probing.
+ */
+public final class Rules {
+  // The design's figures.
+  private static final double READ_REMOTELY_OVER = 1000;      // uncached tokens
+  private static final double READS_PER_READER = 2;           // the gauge's limit for each reader of the cell
+  private static final double LEAVE_READER_OVER = 2;          // times the reads of the least-busy reader
+  private static final Duration KEPT_FOR = Duration.ofSeconds(20);
+  private static final double ROOM_PER_1000_UNCACHED = 0.06;  // room weights, as shares of a writer
+  private static final double ROOM_OTHER_ZONE = 0.10;
+  private static final double ROOM_CHANCE = 0.02;
+  // The mechanisms' figures.
+  private static final Duration BEAT = Duration.ofMillis(100);
+  private static final int BEATS_TO_HALVE = 40;
+  private static final double BAD_SHARE = 0.3;
+  private static final double BAD_LEAST = 1.5;
+  private static final Duration FIRST_TRICKLE = Duration.ofMillis(800);
+  private static final Duration LAST_TRICKLE = Duration.ofMillis(80);
+  private static final Duration LONGEST_TRICKLE = Duration.ofSeconds(3);
+  private static final int FURTHER = 2;
+  private static final double COLD_PART = 0.5;
+  private static final double FULL_LOAD = 0.95;
+  private static final double LATE_SHARE = 0.35;
+  private static final Duration PROBE_EVERY = Duration.ofMillis(1000);
+  private static final Duration REPORT_LAG = Duration.ofMillis(400);
+  private static final Duration REPORT_OLD = Duration.ofSeconds(3);
+  private static final Set<Outcome> NEVER_RAN =
+      EnumSet.of(Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.READ);
+
+  private final Settings set;
+  private final RandomGenerator chance;
+  private final Map<Long, Server> servers = new TreeMap<>();
+  private final Map<Long, Req> reqs = new HashMap<>();
+  private final Deque<Actor> serverMail = new ArrayDeque<>();
+  private final Deque<Actor> reqMail = new ArrayDeque<>();
+  private final Map<Role, Pool> pools = new HashMap<>();
+  private final Tally lateness = new Tally(3);                // in time, late, turned away or failed
+  private final double[] allowance;                           // reqs within each customer's share, saved up
+  private List<Action> out = new ArrayList<>();
+  private Duration now = Duration.ZERO;
+  private Duration nextBeat;
+  private Duration askAgain;
+  private double meanPrompt = 2000;
+  private double level;                                       // how much is being pushed back, 0 to 1
+  private int beats;
+
+  public Rules(Settings settings, long seed) {
+    set = settings;
+    chance = new SplittableRandom(seed);
+    for (Role role : Role.values()) {
+      pools.put(role, new Pool());
+    }
+    allowance = new double[settings.customers().size()];
+  }
+
+  /** Takes what has come in at one moment; the answer holds for that moment. */
+  public List<Action> step(Duration time, List<Event> events) {
+    now = time;
+    out = new ArrayList<>();
+    if (nextBeat == null) {
+      nextBeat = now;
+      askAgain = set.listOnRequest() ? now : null;
+    }
+    for (Event e : events) {
+      deliver(e);
+    }
+    if (now.compareTo(nextBeat) >= 0) {
+      beat();
+    }
+    while (!serverMail.isEmpty() || !reqMail.isEmpty()) {
+      Actor a = serverMail.isEmpty() ? reqMail.poll() : serverMail.poll();
+      a.take(a.inbox.poll());
+    }
+    return out;
+  }
+
+  // ---- mail
+
+  private abstract static class Actor {
+    final Deque<Object> inbox = new ArrayDeque<>();
+
+    abstract void take(Object note);
+  }
+
+  /** Servers' mail goes first, so that each req's choice sees what the last one sent. */
+  private void post(Actor to, Object note) {
+    to.inbox.add(note);
+    (to instanceof Server ? serverMail : reqMail).add(to);
+  }
+
+  private record Sent(Try t) {}
+
+  private record Begun(Try t, Duration took) {}
+
+  private record Over(Try t, Event.Ended how) {}
+
+  private record Heard(double[] report) {}
+
+  private record Shown(Outcome outcome) {}
+
+  private record Removed() {}
+
+  private record Beat(boolean halve) {}
+
+  private void deliver(Event e) {
+    if (e instanceof Event.Accept a) {
+      Req r = new Req(a);
+      reqs.put(a.req(), r);
+      post(r, a);
+    } else if (e instanceof Event.FirstToken f && reqs.containsKey(f.req())) {
+      post(reqs.get(f.req()), f);
+    } else if (e instanceof Event.Ended d && reqs.containsKey(d.req())) {
+      post(reqs.get(d.req()), d);
+    } else if (e instanceof Event.HungUp h && reqs.containsKey(h.req())) {
+      post(reqs.get(h.req()), h);
+    } else if (e instanceof Event.Probed p && servers.containsKey(p.server())) {
+      Server s = servers.get(p.server());
+      post(s, new Heard(p.report()));
+      post(s, new Shown(p.outcome()));
+    } else if (e instanceof Event.ServerList l) {
+      list(l);
+    }
+  }
+
+  private void list(Event.ServerList l) {
+    if (l.form() == Event.ListForm.FAILED) {
+      askAgain = set.listOnRequest() ? now.plus(set.askListWithin().dividedBy(8)) : null;
+      return;
+    }
+    Set<Long> named = new HashSet<>();
+    for (Event.Line line : l.lines()) {
+      named.add(line.server());
+      if (line.kind() < set.kinds().size()) {
+        post(servers.computeIfAbsent(line.server(), id -> new Server(id, line)), line);
+      }
+    }
+    if (l.form() != Event.ListForm.CHANGES) {
+      servers.values().stream().filter(s -> !named.contains(s.id)).forEach(s -> post(s, new Removed()));
+    }
+  }
+
+  private void beat() {
+    nextBeat = now.plus(BEAT);
+    out.add(new Action.Alarm(nextBeat, 0));
+    if (askAgain != null && now.compareTo(askAgain) >= 0) {
+      out.add(new Action.Subscribe());
+      askAgain = null;
+    }
+    beats++;
+    for (int i = 0; i < allowance.length; i++) {
+      double rate = set.customers().get(i).reqsPerSecond() / set.gateways();
+      allowance[i] = Math.min(allowance[i] + rate * seconds(BEAT), Math.max(1, 2 * rate));
+    }
+    if (beats % 5 == 0) {
+      double bad = lateness.share(1) + lateness.share(2);
+      level = lateness.sum() > 6 && bad > LATE_SHARE ? Math.min(0.9, level + 0.1) : Math.max(0, level - 0.05);
+    }
+    if (beats % (BEATS_TO_HALVE / 2) == 0) {
+      lateness.halve();
+    }
+    pools.forEach((role, p) -> p.beat(beats % BEATS_TO_HALVE == 0,
+        (int) servers.values().stream().filter(s -> s.role() == role && s.ready() && !s.cold()).count()));
+    servers.values().forEach(s -> post(s, new Beat(beats % BEATS_TO_HALVE == 0)));
+  }
+
+  // ---- what is measured
+
+  /** A small histogram of coarse bins, halved from time to time. */
+  private static final class Tally {
+    private final double[] bins;
+
+    Tally(int n) {
+      bins = new double[n];
+    }
+
+    void add(int bin, double weight) {
+      bins[Math.max(0, Math.min(bins.length - 1, bin))] += weight;
+    }
+
+    void halve() {
+      for (int i = 0; i < bins.length; i++) {
+        bins[i] /= 2;
+      }
+    }
+
+    double sum() {
+      double all = 0;
+      for (double b : bins) {
+        all += b;
+      }
+      return all;
+    }
+
+    double share(int bin) {
+      return bins[bin] / Math.max(1, sum());
+    }
+
+    int middle() {
+      double left = sum() / 2;
+      int i = 0;
+      while (i < bins.length - 1 && (left -= bins[i]) > 0) {
+        i++;
+      }
+      return i;
+    }
+  }
+
+  /** What the servers of one role do together. */
+  private static final class Pool {
+    final Tally pace = new Tally(12);
+    double worked;                                            // forwards that went well, fading
+    int warm = 1;
+
+    void beat(boolean halve, int warmNow) {
+      warm = warmNow;
+      worked *= 0.95;
+      if (halve) {
+        pace.halve();
+      }
+    }
+
+    /** Forwards a second that went well at one warm server; the fading sum spans two seconds. */
+    double rate() {
+      return worked / (seconds(BEAT) / 0.05) / Math.max(1, warm);
+    }
+  }
+
+  private record Kept(double tokens, Duration at) {}
+
+  /** One model server as this gateway sees it. */
+  private final class Server extends Actor {
+    final long id;
+    final Map<Long, Kept> kept = new LinkedHashMap<>();
+    final Deque<Kept> recent = new ArrayDeque<>();            // tokens sent lately, for the reports' lag
+    final Deque<Duration> whileCold = new ArrayDeque<>();
+    final Tally went = new Tally(2);                          // well, badly
+    final Tally pace = new Tally(12);
+    Event.Line line;
+    boolean listed = true;
+    int reads;
+    int open;
+    double held;
+    double[] report;
+    Duration heardAt;
+    Duration fullAt;
+    boolean aside;
+    boolean probed;
+    Duration gap = FIRST_TRICKLE;
+    Duration nextTrickle = Duration.ZERO;
+    Duration nextProbe;
+
+    Server(long id, Event.Line line) {
+      this.id = id;
+      this.line = line;
+      nextProbe = now.plus(PROBE_EVERY.multipliedBy(chance.nextInt(100)).dividedBy(100));
+    }
+
+    Role role() {
+      return set.kinds().get(line.kind()).role();
+    }
+
+    boolean reader() {
+      return role() != Role.WRITE;
+    }
+
+    boolean writer() {
+      return role() != Role.READ;
+    }
+
+    boolean readsItself() {
+      return role() == Role.BOTH || set.writersRead();
+    }
+
+    double memory() {
+      double tokens = set.kinds().get(line.kind()).memoryTokens();
+      return tokens > 0 ? tokens : 100_000;
+    }
+
+    boolean ready() {
+      return listed && line.state() == Event.State.READY;
+    }
+
+    boolean cold() {
+      return line.upSince() != null && now.minus(line.upSince()).compareTo(set.cold().warmWithin()) < 0;
+    }
+
+    /** The part of its work that it can do at least. */
+    double strength() {
+      if (!cold()) {
+        return 1;
+      }
+      double grown = Math.max(0, seconds(now.minus(line.upSince())) / seconds(set.cold().warmWithin()));
+      return set.cold().leastCapacity() + (1 - set.cold().leastCapacity()) * grown;
+    }
+
+    /**
+     * Cold budget. Guards against tipping a server that has just started, whoever else sends to it: this gateway
+     * keeps to its part of half of what like servers are seen to finish, with one req a span at the least. It
+     * also eases in a replaced machine; it could starve a server when starts are frequent.
+     */
+    boolean coldRoom() {
+      if (!cold()) {
+        return true;
+      }
+      Duration from = now.minus(set.cold().tipSpan());
+      whileCold.removeIf(t -> t.compareTo(from) <= 0);
+      double part = Math.min(1, set.cold().tipMultiple() * strength()) * COLD_PART;
+      return whileCold.size() + 1 <= Math.max(1, part * pools.get(role()).rate() * seconds(set.cold().tipSpan()));
+    }
+
+    boolean mayTrickle() {
+      return now.compareTo(nextTrickle) >= 0 && (probed || !set.limits().probes()) && reads + open == 0;
+    }
+
+    /** How much slower it is than the others of its role, from coarse bins a factor of two apart. */
+    double slowness() {
+      int apart = pace.sum() < 3 ? 0 : pace.middle() - pools.get(role()).pace.middle();
+      return apart < 2 ? 1 : 1 << apart;
+    }
+
+    boolean heard() {
+      return report != null && now.minus(heardAt).compareTo(REPORT_OLD) < 0;
+    }
+
+    double reported(int column) {
+      return column >= 0 && column < report.length ? report[column] : 0;
+    }
+
+    double ownLoad() {
+      return held * set.gateways() / memory();
+    }
+
+    /** The share of this writer that is taken. */
+    double load(double average) {
+      double load = average;
+      if (heard()) {
+        double base = set.reports().memoryShare() >= 0 ? reported(set.reports().memoryShare())
+            : set.reports().slotShare() >= 0 ? reported(set.reports().slotShare())
+            : reported(set.reports().inHand()) * meanPrompt / memory();
+        double since = recent.stream().mapToDouble(Kept::tokens).sum();
+        load = Math.max(held, since) / memory() > base ? held / memory() : base + since / memory();
+        load += reported(set.reports().waiting()) * meanPrompt / memory();
+      }
+      if (fullAt != null && now.minus(fullAt).compareTo(REPORT_LAG) < 0) {
+        load += 0.5;
+      }
+      return (load + 0.05) * slowness() / strength();
+    }
+
+    double believed(Event.Accept a) {
+      return Math.max(a.session() == 0 ? 0 : found(a.session(), a.prompt()),
+          a.shared() == 0 ? 0 : found(a.shared(), a.sharedPart()));
+    }
+
+    private double found(long key, double most) {
+      Kept k = kept.get(key);
+      return k == null || now.minus(k.at).compareTo(KEPT_FOR) > 0 ? 0 : Math.min(most, k.tokens);
+    }
+
+    @Override
+    void take(Object note) {
+      if (note instanceof Event.Line l) {
+        if (l.upSince() != null && !l.upSince().equals(line.upSince())) {
+          kept.clear();
+          report = null;
+        }
+        line = l;
+        listed = true;
+      } else if (note instanceof Removed) {
+        listed = false;
+      } else if (note instanceof Sent s) {
+        sent(s.t);
+      } else if (note instanceof Begun b) {
+        learn(b.t);
+        judge(true, 1, b.t, b.took);
+      } else if (note instanceof Over o) {
+        over(o.t, o.how);
+      } else if (note instanceof Heard h && h.report.length > 0) {
+        report = h.report;
+        heardAt = now;
+        Duration from = now.minus(REPORT_LAG);
+        recent.removeIf(k -> k.at.compareTo(from) < 0);
+      } else if (note instanceof Shown s) {
+        shown(s.outcome == Outcome.DONE);
+      } else if (note instanceof Beat b) {
+        beat(b.halve);
+      }
+    }
+
+    private void sent(Try t) {
+      if (t.read) {
+        reads++;
+      } else {
+        open++;
+        held += t.weight;
+        recent.add(new Kept(t.weight, now));
+      }
+      if (cold()) {
+        whileCold.add(now);
+      }
+      if (aside) {
+        nextTrickle = now.plus(gap);
+        probed = false;
+      }
+    }
+
+    private void over(Try t, Event.Ended how) {
+      if (t.read) {
+        reads--;
+      } else {
+        open--;
+        held = open == 0 ? 0 : held - t.weight;
+      }
+      if (how.report().length > 0) {
+        take(new Heard(how.report()));
+      }
+      switch (how.outcome()) {
+        case READ -> {
+          learn(t);
+          judge(true, 1, t, how.took());
+        }
+        case DONE -> trust(t, how.note());
+        case FULL -> fullAt = how.note() == 1 ? fullAt : now;
+        case NO_CONNECTION, BROKEN, ERROR, TIMED_OUT -> judge(false, 1, t, null);
+        default -> { }
+      }
+    }
+
+    private void learn(Try t) {
+      Event.Accept a = t.req.in;
+      if (a.session() != 0) {
+        kept.remove(a.session());
+        kept.put(a.session(), new Kept(a.prompt(), now));
+      }
+      if (a.shared() != 0) {
+        kept.remove(a.shared());
+        kept.put(a.shared(), new Kept(a.sharedPart(), now));
+      }
+      Iterator<Kept> oldest = kept.values().iterator();
+      while (oldest.hasNext() && now.minus(oldest.next().at).compareTo(KEPT_FOR) > 0) {
+        oldest.remove();
+      }
+    }
+
+    /**
+     * Kept-text trust. Guards against kept texts gone void while the table still credits them, and against a
+     * server that forgets early for want of memory: what was believed before that forward was sent is struck
+     * out. It costs a few needless remote reads when one text was pushed out and the others were not.
+     */
+    private void trust(Try t, double foundKept) {
+      if (t.local && t.believed > 300 && foundKept < t.believed / 2) {
+        kept.values().removeIf(k -> k.at.compareTo(t.sentAt) < 0);
+      }
+    }
+
+    /**
+     * Health. Guards against servers that fail, fall silent or can't be reached, whatever the cause: one whose
+     * forwards go badly is set aside and gets a trickle that doubles while it goes well. Not while half its
+     * role is aside, since then the trouble lies elsewhere. It could harm where short bad luck looks like a fault.
+     */
+    private void judge(boolean well, double weight, Try t, Duration took) {
+      went.add(well ? 0 : 1, weight);
+      if (well) {
+        pools.get(role()).worked += weight;
+        int bin = (int) Math.floor(Math.log(seconds(took) * 1e6 / (500 + t.toRead)) / Math.log(2));
+        pace.add(bin, 1);
+        pools.get(role()).pace.add(bin, 1);
+        if (aside) {
+          gap = gap.dividedBy(2);
+          nextTrickle = now.plus(gap);
+          probed = true;
+          if (gap.compareTo(LAST_TRICKLE) < 0) {
+            aside = false;
+            went.bins[1] = 0;
+          }
+        }
+      } else if (aside) {
+        setBack();
+      } else if (went.bins[1] >= BAD_LEAST && went.share(1) >= BAD_SHARE) {
+        long like = servers.values().stream().filter(s -> s.ready() && s.role() == role()).count();
+        long off = servers.values().stream().filter(s -> s.ready() && s.role() == role() && s.aside).count();
+        if (2 * (off + 1) <= like) {
+          aside = true;
+          gap = FIRST_TRICKLE;
+          setBack();
+        }
+      }
+    }
+
+    private void setBack() {
+      gap = gap.multipliedBy(2).compareTo(LONGEST_TRICKLE) > 0 ? LONGEST_TRICKLE
+          : gap.compareTo(FIRST_TRICKLE) < 0 ? FIRST_TRICKLE : gap.multipliedBy(2);
+      nextTrickle = now.plus(gap);
+      probed = false;
+      nextProbe = nextTrickle;
+    }
+
+    private void shown(boolean well) {
+      if (aside && !well) {
+        setBack();
+      } else if (aside) {
+        probed = true;
+      }
+    }
+
+    /** Probing: asks for reports where only probes bring them, and whether a server set aside answers again. */
+    private void beat(boolean halve) {
+      boolean wanted = aside ? !probed : set.reports().source() == Source.BY_PROBE;
+      if (set.limits().probes() && ready() && wanted && now.compareTo(nextProbe) >= 0) {
+        out.add(new Action.Probe(id));
+        nextProbe = now.plus(PROBE_EVERY);
+      }
+      if (halve) {
+        went.halve();
+        pace.halve();
+      }
+    }
+  }
+
+  // ---- the fleet
+
+  private double averageLoad() {
+    double heard = servers.values().stream().filter(s -> s.writer() && s.ready() && s.heard())
+        .mapToDouble(s -> s.load(0)).average().orElse(-1);
+    return heard;
+  }
+
+  /** The writer with most room for this req: the design's companion, and the choice at the second stage. */
+  private Server writer(Req r, boolean reading, Predicate<Server> where) {
+    double average = averageLoad();
+    Server best = null;
+    double least = Double.MAX_VALUE;
+    for (Server s : servers.values()) {
+      if (!s.writer() || !where.test(s) || !open(r, s)) {
+        continue;
+      }
+      if (s.aside) {
+        if (r.further == 0 && reading) {
+          return s;
+        }
+        continue;
+      }
+      double cost = s.load(average < 0 ? s.ownLoad() : average)
+          + (reading ? ROOM_PER_1000_UNCACHED * (r.in.prompt() - s.believed(r.in)) / 1000 : 0)
+          + (s.line.zone() == set.zone() ? 0 : ROOM_OTHER_ZONE) + chance.nextDouble() * ROOM_CHANCE;
+      if (cost < least) {
+        least = cost;
+        best = s;
+      }
+    }
+    return best;
+  }
+
+  /** Reads out in a cell and its readers: own reads, or what its readers report to wait where that is more. */
+  private boolean readersFree(Server companion) {
+    double own = 0;
+    double told = 0;
+    int readers = 0;
+    for (Server s : servers.values()) {
+      if (s.reader() && s.ready() && !s.aside && s.line.cell() == companion.line.cell() && s != companion) {
+        readers++;
+        own += s.reads;
+        if (s.heard()) {
+          told += set.reports().waitingKTokens() >= 0
+              ? s.reported(set.reports().waitingKTokens()) * 1000 / meanPrompt : s.reported(set.reports().waiting());
+        }
+      }
+    }
+    return Math.max(own, told) < READS_PER_READER * readers;
+  }
+
+  /** The reader that the hash of the shared beginning picks, unless it is too busy beside the others. */
+  private Server reader(Req r, Predicate<Server> where) {
+    long key = r.in.shared() != 0 ? r.in.shared() : r.in.session();
+    Server picked = null;
+    Server least = null;
+    for (Server s : servers.values()) {
+      if (!s.reader() || s == r.companion || !where.test(s) || !open(r, s)) {
+        continue;
+      }
+      if (s.aside) {
+        if (r.further == 0) {
+          return s;
+        }
+        continue;
+      }
+      if (picked == null || mixed(key ^ s.id) > mixed(key ^ picked.id)) {
+        picked = s;
+      }
+      if (least == null || busy(s) < busy(least)) {
+        least = s;
+      }
+    }
+    return picked != null && busy(picked) > LEAVE_READER_OVER * Math.max(1, busy(least)) ? least : picked;
+  }
+
+  private double busy(Server s) {
+    return s.reads * s.slowness() / s.strength();
+  }
+
+  private static long mixed(long z) {
+    z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
+    z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+    return (z ^ (z >>> 31)) >>> 1;
+  }
+
+  // ---- the send gate: every rule on what may be sent stands here
+
+  private boolean open(Req r, Server s) {
+    if (r.closed || r.begun || !s.ready() || !s.coldRoom() || s.aside && !s.mayTrickle()
+        || r.tries.size() >= set.limits().forwards() || r.left().compareTo(set.tick()) <= 0) {
+      return false;
+    }
+    if (r.out > 0 && !set.limits().copies()) {
+      return false;
+    }
+    for (Try t : r.tries) {
+      if (t.mayHaveRun()) {
+        Event.Line a = t.at.line;
+        boolean same = switch (r.group.scope()) {
+          case ALL -> true;
+          case ZONE -> a.zone() == s.line.zone();
+          case CELL -> a.cell() == s.line.cell();
+        };
+        boolean known = now.compareTo(t.sentAt.plus(r.group.window())) < 0;
+        if (r.group.repeat() == Repeat.NON_REPLAYABLE || r.group.repeat() == Repeat.KEYED && !(same && known)) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  private void send(Req r, Server s, boolean read, Duration timeOut) {
+    if (!open(r, s)) {
+      throw new IllegalStateException("a send past the gate");
+    }
+    Duration most = r.left().minus(set.tick());
+    Try t = new Try(r, s, r.tries.size(), read, now);
+    t.believed = s.believed(r.in);
+    t.local = !read && r.stateAt == null;
+    t.toRead = read || t.local ? r.in.prompt() - t.believed : 0;
+    r.tries.add(t);
+    r.out++;
+    out.add(new Action.Forward(r.in.req(), s.id, timeOut.compareTo(most) < 0 ? timeOut : most));
+    post(s, new Sent(t));
+  }
+
+  /** One forward of a req. */
+  private static final class Try {
+    final Req req;
+    final Server at;
+    final int number;
+    final boolean read;
+    final double weight;
+    final Duration sentAt;
+    double believed;
+    double toRead;
+    boolean local;
+    Outcome how;
+
+    Try(Req req, Server at, int number, boolean read, Duration sentAt) {
+      this.req = req;
+      this.at = at;
+      this.number = number;
+      this.read = read;
+      this.sentAt = sentAt;
+      weight = req.in.prompt() + Math.min(200, req.in.maxAnswer() / 2);
+    }
+
+    boolean mayHaveRun() {
+      return !(read && at.role() == Role.READ) && (how == null || !NEVER_RAN.contains(how));
+    }
+  }
+
+  /** One req, from its taking to its one final answer and the end of its last forward. */
+  private final class Req extends Actor {
+    final Event.Accept in;
+    final EndpointGroup group;
+    final Duration taken = now;
+    final List<Try> tries = new ArrayList<>();
+    int further;
+    int out;
+    boolean closed;
+    boolean begun;
+    boolean holding;
+    Server companion;
+    Server stateAt;
+
+    Req(Event.Accept in) {
+      this.in = in;
+      group = set.groups().get(Math.min(in.group(), set.groups().size() - 1));
+    }
+
+    Duration left() {
+      return taken.plus(in.budget()).minus(now);
+    }
+
+    Duration target() {
+      return group.responseTarget().plus(group.targetPer1000().multipliedBy((long) in.prompt()).dividedBy(1000));
+    }
+
+    @Override
+    void take(Object note) {
+      if (note instanceof Event.Accept) {
+        meanPrompt += (in.prompt() - meanPrompt) / 50;
+        if (overloadTurnsAway()) {
+          giveUp();
+        } else {
+          plan();
+        }
+      } else if (note instanceof Event.FirstToken f && f.forward() < tries.size()) {
+        begun = true;
+        stateAt = null;
+        Try t = tries.get(f.forward());
+        lateness.add(now.minus(taken).compareTo(target()) <= 0 ? 0 : 1, 1);
+        post(t.at, new Begun(t, f.took()));
+      } else if (note instanceof Event.Ended e && e.forward() < tries.size() && tries.get(e.forward()).how == null) {
+        ended(tries.get(e.forward()), e);
+      } else if (note instanceof Event.HungUp && !closed) {
+        closed = true;
+        letGo();
+      }
+      if (closed && out == 0) {
+        reqs.remove(in.req());
+      }
+    }
+
+    /** The design's path: a companion writer, then the length test and the gauge, then the cell's reader. */
+    void plan() {
+      stateAt = null;
+      companion = writer(this, true, s -> true);
+      if (companion == null) {
+        giveUp();
+        return;
+      }
+      double uncached = in.prompt() - companion.believed(in);
+      boolean remote = uncached > READ_REMOTELY_OVER && readersFree(companion);
+      Server rd = null;
+      if (remote || !companion.readsItself()) {
+        rd = reader(this, s -> s.line.cell() == companion.line.cell());
+        if (rd == null && !companion.readsItself()) {
+          rd = reader(this, s -> s.line.zone() == companion.line.zone());
+          rd = rd != null ? rd : reader(this, s -> true);
+        }
+      }
+      if (rd != null) {
+        send(this, rd, true, patience(rd, in.prompt()));
+        if (set.holdAhead() && open(this, companion)) {
+          holding = true;
+          Rules.this.out.add(new Action.Hold(in.req(), companion.id));
+        }
+      } else if (companion.readsItself()) {
+        send(this, companion, false, patience(companion, uncached));
+      } else {
+        giveUp();
+      }
+    }
+
+    /** After the read: the companion, or if it went bad another writer, near ones first. */
+    private void write() {
+      Server w = companion != null && !companion.aside && open(this, companion) ? companion : null;
+      int cell = stateAt.line.cell();
+      int zone = stateAt.line.zone();
+      w = w != null ? w : writer(this, false, s -> s.line.cell() == cell);
+      w = w != null ? w : writer(this, false, s -> s.line.zone() == zone);
+      w = w != null ? w : writer(this, false, s -> true);
+      if (w == null) {
+        giveUp();
+      } else {
+        holding = false;
+        send(this, w, false, patience(w, 0));
+      }
+    }
+
+    /**
+     * Time-outs. Guards against servers and links that fall silent or crawl: past half the response target, and
+     * three times what such a read takes, a forward is ended so that another may still be in time. None but the
+     * deadline while overload is seen, since then a further forward only adds to it.
+     */
+    private Duration patience(Server s, double toRead) {
+      if (overloaded() || further >= FURTHER) {
+        return left();
+      }
+      double pace = Math.pow(2, pools.get(s.role()).pace.middle() + 1) / 1e6;
+      double usual = 0.2 + 3 * pace * (500 + toRead);
+      return Duration.ofMillis((long) (1000 * Math.max(usual, 0.5 * seconds(target()))));
+    }
+
+    private void ended(Try t, Event.Ended e) {
+      t.how = e.outcome();
+      out--;
+      post(t.at, new Over(t, e));
+      if (e.closed()) {
+        closed = true;
+      }
+      if (e.outcome() == Outcome.READ) {
+        stateAt = t.at;
+      }
+      if (closed) {
+        if (e.outcome() != Outcome.DONE) {
+          letGo();
+        }
+        return;
+      }
+      if (out > 0) {
+        return;
+      }
+      if (e.outcome() == Outcome.READ) {
+        write();
+        return;
+      }
+      if (t.read && holding) {
+        letGo();
+      }
+      if (e.outcome() == Outcome.FULL && e.note() == 1) {
+        stateAt = null;
+      }
+      lateness.add(2, e.outcome() == Outcome.CANCELLED ? 0 : 1);
+      if (further >= FURTHER || overloaded() || begun) {
+        giveUp();
+        return;
+      }
+      further++;
+      if (stateAt != null && !t.read) {
+        companion = companion == t.at ? null : companion;
+        write();
+      } else {
+        plan();
+      }
+    }
+
+    private boolean overloaded() {
+      return lateness.sum() > 6 && lateness.share(1) + lateness.share(2) > LATE_SHARE;
+    }
+
+    /**
+     * Overload pushback. Guards against more work than the fleet can do, from bursts, retries or lost servers:
+     * what earns least goes first, beyond-share traffic ahead of the rest. It could harm where a few bad servers
+     * make the whole look late.
+     */
+    private boolean overloadTurnsAway() {
+      double most = set.groups().stream().mapToDouble(EndpointGroup::importance).max().orElse(1);
+      double rank = group.importance() / Math.max(1e-9, most);
+      if (in.customer() < allowance.length) {
+        if (allowance[in.customer()] < 1) {
+          rank *= set.overShareWorth();
+        } else {
+          allowance[in.customer()]--;
+        }
+      }
+      double average = averageLoad();
+      double least = servers.values().stream().filter(s -> s.writer() && s.ready() && !s.aside)
+          .mapToDouble(s -> s.load(average < 0 ? s.ownLoad() : average)).min().orElse(0);
+      return least > FULL_LOAD + 0.2 * rank || chance.nextDouble() < level * (1.2 - rank);
+    }
+
+    /** The one place of the final answers that this gateway gives; what is held goes with it. */
+    private void giveUp() {
+      closed = true;
+      letGo();
+      boolean harmless = group.repeat() == Repeat.REPLAYABLE
+          || group.repeat() == Repeat.KEYED && group.scope() == Scope.ALL
+          || tries.stream().noneMatch(Try::mayHaveRun);
+      if (harmless) {
+        Duration wait = Duration.ofMillis(300 + chance.nextInt(700));
+        Duration longest = set.limits().longestRetryAdvice();
+        Rules.this.out.add(new Action.PushBack(in.req(), !set.limits().retryAdvice() ? Duration.ZERO
+            : wait.compareTo(longest) < 0 ? wait : longest));
+      } else {
+        Rules.this.out.add(new Action.Abort(in.req()));
+      }
+    }
+
+    /** Ends what still runs for this req and lets go of what is held for it. */
+    private void letGo() {
+      for (Try t : tries) {
+        if (t.how == null && closed && !begun && set.limits().cancel()) {
+          Rules.this.out.add(new Action.Cancel(in.req(), t.number));
+        }
+      }
+      if (!tries.isEmpty()) {
+        Rules.this.out.add(new Action.Drop(in.req()));
+      }
+      holding = false;
+    }
+  }
+
+  private static double seconds(Duration span) {
+    return span.toNanos() / 1e9;
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/api/Event.java
@@ -0,0 +1,39 @@
+package gapproxy.api;
+
+import java.time.Duration;
+import java.util.List;
+
+/** What a gateway learns. Times are spans since the gateway's start. */
+public sealed interface Event {
+
+  enum ListForm { CHANGES, COMPLETE, REMEMBERED, FAILED }
+
+  enum State { GONE, READY, DRAINING }
+
+  /** One line of the list; {@code upSince} is null where the server started long ago. */
+  record Line(long server, int zone, int kind, int cell, State state, double size, Duration upSince) {}
+
+  record ServerList(ListForm form, List<Line> lines) implements Event {}
+
+  /** A req taken from a client; {@code session} and {@code shared} are 0 where there is none. */
+  record Accept(long req, int group, int customer, long session, Duration budget, long shared,
+      double prompt, double sharedPart, double maxAnswer, boolean resumed) implements Event {}
+
+  /** The answer has begun; from here on the forward belongs to the client. */
+  record FirstToken(long req, int forward, Duration took, long server) implements Event {}
+
+  enum Outcome { DONE, ERROR, FULL, TIMED_OUT, NO_CONNECTION, BROKEN, CANCELLED, NOT_SENT, READ }
+
+  /** How a forward ended; {@code note} is kept tokens, or 1 with FULL where there was no state. */
+  record Ended(long req, int forward, Outcome outcome, long server, long note, boolean closed,
+      Duration took, double[] report) implements Event {}
+
+  record HungUp(long req) implements Event {}
+
+  /** The answer to a hold given with a read. */
+  record Held(long req, int forward, long server, boolean held) implements Event {}
+
+  record Wake(long token) implements Event {}
+
+  record Probed(long server, Outcome outcome, Duration took, double[] report) implements Event {}
+}
--- /dev/null
+++ b/src/main/java/gapproxy/api/Settings.java
@@ -0,0 +1,51 @@
+package gapproxy.api;
+
+import java.time.Duration;
+import java.util.List;
+
+/** What a gateway is told at its start; only what the decisions read, decoded once. */
+public record Settings(
+    int gateways,
+    int zone,
+    Duration tick,
+    List<EndpointGroup> groups,
+    List<Customer> customers,
+    double overShareWorth,
+    List<ServerKind> kinds,
+    boolean writersRead,
+    boolean holdAhead,
+    Duration releaseWithin,
+    Duration drainGrace,
+    ColdLimit cold,
+    boolean listOnRequest,
+    Duration askListWithin,
+    Reports reports,
+    Limits limits) {
+
+  /** Whether a req may run again. */
+  public enum Repeat { REPLAYABLE, KEYED, NON_REPLAYABLE }
+
+  /** Where the repeats of a keyed req are dropped. */
+  public enum Scope { ALL, ZONE, CELL }
+
+  public record EndpointGroup(Repeat repeat, Scope scope, Duration window, double importance,
+      Duration responseTarget, Duration targetPer1000) {}
+
+  /** A customer's share, in reqs a second over all gateways. */
+  public record Customer(double reqsPerSecond) {}
+
+  public enum Role { READ, WRITE, BOTH }
+
+  public record ServerKind(Role role, double memoryTokens) {}
+
+  /** A server that has just started: its least capacity, how long it is cold, how much tips it. */
+  public record ColdLimit(double leastCapacity, Duration warmWithin, double tipMultiple, Duration tipSpan) {}
+
+  public enum Source { WITH_ANSWERS, BY_PROBE, NONE }
+
+  /** The places of the load figures in a report; -1 where a server does not tell it. */
+  public record Reports(Source source, int inHand, int waiting, int slotShare, int memoryShare, int waitingKTokens) {}
+
+  public record Limits(int forwards, boolean cancel, boolean copies, boolean probes, boolean retryAdvice,
+      Duration longestRetryAdvice) {}
+}
--- /dev/null
+++ b/src/main/java/gapproxy/benchlink/SettingsReader.java
@@ -0,0 +1,142 @@
+package gapproxy.benchlink;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gapproxy.api.Settings;
+import gapproxy.api.Settings.ColdLimit;
+import gapproxy.api.Settings.Customer;
+import gapproxy.api.Settings.EndpointGroup;
+import gapproxy.api.Settings.Limits;
+import gapproxy.api.Settings.Repeat;
+import gapproxy.api.Settings.Reports;
+import gapproxy.api.Settings.Role;
+import gapproxy.api.Settings.Scope;
+import gapproxy.api.Settings.ServerKind;
+import gapproxy.api.Settings.Source;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Turns the settings text of the wire into {@link Settings}; keys it does not know are passed over. */
+final class SettingsReader {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private SettingsReader() {}
+
+  static Settings read(byte[] text) throws BadFrame {
+    JsonNode all;
+    try {
+      all = JSON.readTree(new String(text, java.nio.charset.StandardCharsets.UTF_8));
+    } catch (JsonProcessingException e) {
+      throw new BadFrame("settings are not JSON: " + e.getOriginalMessage());
+    }
+    JsonNode family = need(all, "familyInfo", "");
+    JsonNode rules = need(all, "guarantees", "");
+    JsonNode limits = need(all, "policyLimits", "");
+    JsonNode stats = all.path("stats");
+    List<String> columns = new ArrayList<>();
+    stats.path("columns").forEach(c -> columns.add(c.asText()));
+    List<EndpointGroup> groups = new ArrayList<>();
+    JsonNode perK = family.path("aimUsPer1000PromptTokens");
+    for (JsonNode c : need(all, "classes", "")) {
+      groups.add(new EndpointGroup(
+          repeat(need(c, "repeat", "classes[].").asText()),
+          scope(c.path("group").asText("all")),
+          micros(c, "windowUs"),
+          c.path("worth").asDouble(1),
+          span(need(c, "sloUs", "classes[].")),
+          span(perK.path(groups.size()))));
+    }
+    List<Customer> customers = new ArrayList<>();
+    all.path("projects").forEach(p -> customers.add(new Customer(p.path("quotaRps").asDouble())));
+    List<ServerKind> kinds = new ArrayList<>();
+    JsonNode memory = family.path("memoryTokens");
+    for (JsonNode role : need(family, "roleByKind", "familyInfo.")) {
+      kinds.add(new ServerKind(role(role.asText()), memory.path(kinds.size()).asDouble()));
+    }
+    return new Settings(
+        Math.max(1, need(all, "balancers", "").asInt()),
+        all.path("locality").asInt(),
+        micros(all, "tickUs"),
+        List.copyOf(groups),
+        List.copyOf(customers),
+        all.path("overShareWorth").asDouble(1),
+        List.copyOf(kinds),
+        family.path("localRead").asBoolean(false),
+        family.path("ahead").asBoolean(false),
+        span(need(family, "releaseWithinUs", "familyInfo.")),
+        span(need(rules, "drainGraceUs", "guarantees.")),
+        new ColdLimit(
+            need(rules, "startCapacity", "guarantees.").asDouble(),
+            span(need(rules, "warmUpUs", "guarantees.")),
+            need(rules, "tipMultiple", "guarantees.").asDouble(),
+            span(need(rules, "fallUs", "guarantees."))),
+        all.path("registryMode").asText().equals("on_request"),
+        micros(rules, "mustAskInUs"),
+        new Reports(
+            source(stats.path("source").asText("silent")),
+            columns.indexOf("outstanding"),
+            columns.indexOf("backlog"),
+            columns.indexOf("utilization"),
+            family.path("reportX0").asText().contains("memory") ? columns.indexOf("x0") : -1,
+            family.path("reportX1").asText().contains("tokens") ? columns.indexOf("x1") : -1),
+        new Limits(
+            need(limits, "maxAttempts", "policyLimits.").asInt(),
+            limits.path("mayCancel").asBoolean(false),
+            limits.path("mayDuplicate").asBoolean(false),
+            limits.path("mayProbe").asBoolean(false),
+            limits.path("retryAfter").asBoolean(false),
+            micros(limits, "maxRetryAfterUs")));
+  }
+
+  private static JsonNode need(JsonNode from, String key, String path) throws BadFrame {
+    JsonNode found = from.get(key);
+    if (found == null || found.isNull()) {
+      throw new BadFrame("settings lack " + path + key);
+    }
+    return found;
+  }
+
+  private static Duration span(JsonNode micros) {
+    return Duration.ofNanos(Math.round(micros.asDouble() * 1000));
+  }
+
+  private static Duration micros(JsonNode from, String key) {
+    return span(from.path(key));
+  }
+
+  private static Repeat repeat(String word) throws BadFrame {
+    return switch (word) {
+      case "read_like" -> Repeat.REPLAYABLE;
+      case "idempotency_key" -> Repeat.KEYED;
+      case "non_idempotent" -> Repeat.NON_REPLAYABLE;
+      default -> throw new BadFrame("settings hold an unknown word in classes[].repeat: " + word);
+    };
+  }
+
+  private static Scope scope(String word) {
+    return switch (word) {
+      case "zone" -> Scope.ZONE;
+      case "cell" -> Scope.CELL;
+      default -> Scope.ALL;
+    };
+  }
+
+  private static Role role(String word) throws BadFrame {
+    return switch (word) {
+      case "read" -> Role.READ;
+      case "write" -> Role.WRITE;
+      case "both" -> Role.BOTH;
+      default -> throw new BadFrame("settings hold an unknown word in familyInfo.roleByKind: " + word);
+    };
+  }
+
+  private static Source source(String word) {
+    return switch (word) {
+      case "piggyback" -> Source.WITH_ANSWERS;
+      case "pull" -> Source.BY_PROBE;
+      default -> Source.NONE;
+    };
+  }
+}
