--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -35,10 +35,10 @@
  */
 public final class Rules {
   // The design's figures.
-  private static final double READ_REMOTELY_OVER = 1000;      // uncached tokens
-  private static final double READS_PER_READER = 2;           // the gauge's limit for each reader of the cell
+  private static final double READ_REMOTELY_OVER = 500;      // uncached tokens
+  private static final double READS_PER_READER = 6;           // the gauge's limit for each reader of the cell
   private static final double LEAVE_READER_OVER = 2;          // times the reads of the least-busy reader
-  private static final Duration KEPT_FOR = Duration.ofSeconds(20);
+  private static final Duration KEPT_FOR = Duration.ofSeconds(10);
   private static final double ROOM_PER_1000_UNCACHED = 0.06;  // room weights, as shares of a writer
   private static final double ROOM_OTHER_ZONE = 0.10;
   private static final double ROOM_CHANCE = 0.02;
