--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -35,8 +35,8 @@
  */
 public final class Rules {
   // The design's figures.
-  private static final double READ_REMOTELY_OVER = 500;      // uncached tokens
-  private static final double READS_PER_READER = 6;           // the gauge's limit for each reader of the cell
+  private static final double READ_REMOTELY_OVER = 300;      // uncached tokens
+  private static final double READS_PER_READER = 12;          // the gauge's limit for each reader of the cell
   private static final double LEAVE_READER_OVER = 2;          // times the reads of the least-busy reader
   private static final Duration KEPT_FOR = Duration.ofSeconds(10);
   private static final double ROOM_PER_1000_UNCACHED = 0.06;  // room weights, as shares of a writer
@@ -273,6 +273,7 @@
     int reads;
     int open;
     double held;
+    double unread;                                            // tokens that own forwards have it read itself
     double[] report;
     Duration heardAt;
     Duration fullAt;
@@ -377,6 +378,7 @@
       if (fullAt != null && now.minus(fullAt).compareTo(REPORT_LAG) < 0) {
         load += 0.5;
       }
+      load += ROOM_PER_1000_UNCACHED * unread / 1000;
       return (load + 0.05) * slowness() / strength();
     }
 
@@ -405,6 +407,7 @@
         sent(s.t);
       } else if (note instanceof Begun b) {
         learn(b.t);
+        begun(b.t);
         judge(true, 1, b.t, b.took);
       } else if (note instanceof Over o) {
         over(o.t, o.how);
@@ -426,6 +429,7 @@
       } else {
         open++;
         held += t.weight;
+        unread += t.toRead;
         recent.add(new Kept(t.weight, now));
       }
       if (cold()) {
@@ -437,7 +441,13 @@
       }
     }
 
+    private void begun(Try t) {
+      unread -= t.begun || t.read ? 0 : t.toRead;
+      t.begun = true;
+    }
+
     private void over(Try t, Event.Ended how) {
+      begun(t);
       if (t.read) {
         reads--;
       } else {
@@ -690,6 +700,7 @@
     double believed;
     double toRead;
     boolean local;
+    boolean begun;
     Outcome how;
 
     Try(Req req, Server at, int number, boolean read, Duration sentAt) {
