--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -40,7 +40,7 @@
   private static final double LEAVE_READER_OVER = 2;          // times the reads of the least-busy reader
   private static final Duration KEPT_FOR = Duration.ofSeconds(10);
   private static final double ROOM_PER_1000_UNCACHED = 0.06;  // room weights, as shares of a writer
-  private static final double ROOM_OTHER_ZONE = 0.10;
+  private static final double ROOM_OTHER_ZONE = 0.40;
   private static final double ROOM_CHANCE = 0.02;
   // The mechanisms' figures.
   private static final Duration BEAT = Duration.ofMillis(100);
