--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -41,7 +41,8 @@
   private static final Duration KEPT_FOR = Duration.ofSeconds(10);
   private static final double ROOM_PER_1000_UNCACHED = 0.06;  // room weights, as shares of a writer
   private static final double ROOM_OTHER_ZONE = 0.40;
-  private static final double ROOM_CHANCE = 0.02;
+  private static final double ROOM_PER_READ_OUT = 0.05;       // for each read out per reader of its cell
+  private static final double ROOM_CHANCE = 0.10;
   // The mechanisms' figures.
   private static final Duration BEAT = Duration.ofMillis(100);
   private static final int BEATS_TO_HALVE = 40;
@@ -585,6 +586,7 @@
       }
       double cost = s.load(average < 0 ? s.ownLoad() : average)
           + (reading ? ROOM_PER_1000_UNCACHED * (r.in.prompt() - s.believed(r.in)) / 1000 : 0)
+          + (reading ? ROOM_PER_READ_OUT * Math.min(READS_PER_READER, readsOut(s)) : 0)
           + (s.line.zone() == set.zone() ? 0 : ROOM_OTHER_ZONE) + chance.nextDouble() * ROOM_CHANCE;
       if (cost < least) {
         least = cost;
@@ -595,7 +597,7 @@
   }
 
   /** Reads out in a cell and its readers: own reads, or what its readers report to wait where that is more. */
-  private boolean readersFree(Server companion) {
+  private double readsOut(Server companion) {
     double own = 0;
     double told = 0;
     int readers = 0;
@@ -609,7 +611,7 @@
         }
       }
     }
-    return Math.max(own, told) < READS_PER_READER * readers;
+    return readers == 0 ? Double.MAX_VALUE : Math.max(own, told) / readers;
   }
 
   /** The reader that the hash of the shared beginning picks, unless it is too busy beside the others. */
@@ -779,7 +781,7 @@
         return;
       }
       double uncached = in.prompt() - companion.believed(in);
-      boolean remote = uncached > READ_REMOTELY_OVER && readersFree(companion);
+      boolean remote = uncached > READ_REMOTELY_OVER && readsOut(companion) < READS_PER_READER;
       Server rd = null;
       if (remote || !companion.readsItself()) {
         rd = reader(this, s -> s.line.cell() == companion.line.cell());
