--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -36,12 +36,12 @@
 public final class Rules {
   // The design's figures.
   private static final double READ_REMOTELY_OVER = 300;      // uncached tokens
-  private static final double READS_PER_READER = 12;          // the gauge's limit for each reader of the cell
+  private static final double READS_PER_READER = 4;           // the gauge's limit for each reader of the cell
   private static final double LEAVE_READER_OVER = 2;          // times the reads of the least-busy reader
   private static final Duration KEPT_FOR = Duration.ofSeconds(10);
   private static final double ROOM_PER_1000_UNCACHED = 0.06;  // room weights, as shares of a writer
   private static final double ROOM_OTHER_ZONE = 0.40;
-  private static final double ROOM_PER_READ_OUT = 0.05;       // for each read out per reader of its cell
+  private static final double ROOM_PER_READ_OUT = 0.15;       // for each read out per reader of its cell
   private static final double ROOM_CHANCE = 0.10;
   // The mechanisms' figures.
   private static final Duration BEAT = Duration.ofMillis(100);
