--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -365,6 +365,10 @@
       return held * set.gateways() / memory();
     }
 
+    double memoryTaken() {
+      return heard() && set.reports().memoryShare() >= 0 ? reported(set.reports().memoryShare()) : ownLoad();
+    }
+
     /** The share of this writer that is taken. */
     double load(double average) {
       double load = average;
@@ -384,6 +388,9 @@
     }
 
     double believed(Event.Accept a) {
+      if (writer() && memoryTaken() > 0.6) {
+        return 0;
+      }
       return Math.max(a.session() == 0 ? 0 : found(a.session(), a.prompt()),
           a.shared() == 0 ? 0 : found(a.shared(), a.sharedPart()));
     }
