--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -55,7 +55,7 @@
   private static final double COLD_PART = 0.5;
   private static final double FULL_LOAD = 0.95;
   private static final double LATE_SHARE = 0.35;
-  private static final Duration PROBE_EVERY = Duration.ofMillis(1000);
+  private static final Duration PROBE_EVERY = Duration.ofMillis(500);
   private static final Duration REPORT_LAG = Duration.ofMillis(400);
   private static final Duration REPORT_OLD = Duration.ofSeconds(3);
   private static final Set<Outcome> NEVER_RAN =
@@ -388,7 +388,7 @@
     }
 
     double believed(Event.Accept a) {
-      if (writer() && memoryTaken() > 0.6) {
+      if (writer() && memoryTaken() > 0.4) {
         return 0;
       }
       return Math.max(a.session() == 0 ? 0 : found(a.session(), a.prompt()),
