--- /dev/null
+++ b/src/test/java/gapproxy/RulesTest.java
@@ -0,0 +1,267 @@
+package gapproxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gapproxy.World.Fwd;
+import gapproxy.World.Job;
+import gapproxy.api.Action;
+import gapproxy.api.Event;
+import gapproxy.api.Event.Outcome;
+import gapproxy.api.Settings.Role;
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class RulesTest {
+  private static final Duration BUDGET = World.ms(6000);
+
+  // ---- seeded random runs; World checks the five rules after every step
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
+  void rulesHoldWhateverComes(long seed) {
+    SplittableRandom r = new SplittableRandom(seed);
+    World w = new World(World.draw(r), seed);
+    w.start(1 + r.nextInt(3), 2 + r.nextInt(4));
+    double trouble = r.nextDouble() * 0.3;
+    for (int i = 0; i < 4000; i++) {
+      w.now = w.now.plus(World.ms(4));
+      w.step(new Event.Wake(0));
+      if (r.nextInt(6) == 0) {
+        w.accept(r.nextInt(3), 1 + r.nextInt(40), r.nextInt(4), 200 + r.nextInt(6000), 150,
+            World.ms(1 + r.nextInt(r.nextInt(10) == 0 ? 40 : 5000)));
+      }
+      for (Job j : List.copyOf(w.jobs.values())) {
+        if (!j.ended && r.nextInt(600) == 0) {
+          j.ended = true;
+          w.step(new Event.HungUp(j.in.req()));
+        }
+        j.forwards.stream().filter(f -> f.how == null).toList().forEach(f -> fate(w, f, r, trouble));
+      }
+      w.jobs.values().removeIf(j -> j.ended && j.out() == 0 && !j.state && !j.place);
+      if (r.nextInt(150) == 0) {
+        change(w, r);
+      }
+    }
+  }
+
+  private static void fate(World w, Fwd f, SplittableRandom r, double trouble) {
+    boolean reader = w.set.kinds().get(w.list.get(f.server).kind()).role() == Role.READ;
+    if (f.cancelled && r.nextInt(2) == 0) {
+      w.end(f, reader && r.nextInt(3) == 0 ? Outcome.READ : Outcome.CANCELLED, 0);
+    } else if (f.streaming) {
+      if (r.nextInt(200) == 0) {
+        w.end(f, r.nextInt(10) == 0 ? Outcome.BROKEN : Outcome.DONE, r.nextInt(3000));
+      }
+    } else if (w.now.compareTo(f.due) >= 0) {
+      w.end(f, Outcome.TIMED_OUT, 0);
+    } else if (r.nextInt(20) == 0) {
+      boolean bad = r.nextDouble() < trouble;
+      Outcome how = bad ? List.of(Outcome.ERROR, Outcome.FULL, Outcome.NO_CONNECTION, Outcome.BROKEN)
+          .get(r.nextInt(4)) : Outcome.READ;
+      if (bad || reader) {
+        w.end(f, how, how == Outcome.FULL ? r.nextInt(2) : 0);
+      } else if (!w.jobs.get(f.req).ended) {
+        w.begin(f);
+      }
+    }
+  }
+
+  private static void change(World w, SplittableRandom r) {
+    List<Event.Line> lines = List.copyOf(w.list.values());
+    Event.Line l = lines.get(r.nextInt(lines.size()));
+    Event.State state = Event.State.values()[r.nextInt(3)];
+    w.tell(w.line(l.server(), l.kind(), l.cell(), state, state == Event.State.READY ? w.now : l.upSince()));
+  }
+
+  @Test
+  void sameEventsGiveSameActions() {
+    World a = new World(World.plain(), 7);
+    World b = new World(World.plain(), 7);
+    for (World w : List.of(a, b)) {
+      w.start(3, 4);
+      for (int i = 0; i < 200; i++) {
+        w.now = w.now.plus(World.ms(20));
+        w.accept(0, i % 17, i % 5, 500 + 37 * i, 400, BUDGET);
+      }
+    }
+    assertEquals(targets(a), targets(b));
+  }
+
+  private static List<Long> targets(World w) {
+    return w.jobs.values().stream().flatMap(j -> j.forwards.stream()).map(f -> f.server).toList();
+  }
+
+  // ---- plain cases of the path
+
+  private static World ready() {
+    World w = new World(World.plain(), 1);
+    w.start(2, 4);
+    return w;
+  }
+
+  private static Role role(World w, Fwd f) {
+    return w.set.kinds().get(w.list.get(f.server).kind()).role();
+  }
+
+  /** Takes a req through a read, if there is one, to the first token. */
+  private static Fwd run(World w, Job j) {
+    Fwd f = j.forwards.get(j.forwards.size() - 1);
+    w.now = w.now.plus(World.ms(50));
+    if (role(w, f) == Role.READ) {
+      w.end(f, Outcome.READ, 0);
+      f = j.forwards.get(j.forwards.size() - 1);
+    }
+    w.begin(f);
+    return f;
+  }
+
+  @Test
+  void aLongPromptIsReadNearItsWriterAndAShortOneAtIt() {
+    World w = ready();
+    Job longOne = w.accept(0, 1, 0, 4000, 0, BUDGET);
+    assertEquals(Role.READ, role(w, longOne.forwards.get(0)));
+    Fwd wr = run(w, longOne);
+    assertEquals(Role.WRITE, role(w, wr));
+    assertEquals(w.list.get(longOne.forwards.get(0).server).cell(), w.list.get(wr.server).cell());
+    assertEquals(Role.WRITE, role(w, w.accept(0, 2, 0, 100, 0, BUDGET).forwards.get(0)));
+  }
+
+  @Test
+  void whatTheWriterKeepsIsNotCountedAndVoidTextsCostItsCredit() {
+    World w = ready();
+    Fwd first = run(w, w.accept(0, 1, 0, 4000, 0, BUDGET));
+    w.end(first, Outcome.DONE, 0);
+    Job next = w.accept(0, 1, 0, 4100, 0, BUDGET);
+    Fwd again = next.forwards.get(0);
+    assertEquals(first.server, again.server);
+    w.begin(again);
+    w.end(again, Outcome.DONE, 0);
+    w.now = w.now.plus(World.ms(10));
+    Job third = w.accept(0, 1, 0, 4000, 0, BUDGET);
+    w.begin(third.forwards.get(0));
+    w.end(third.forwards.get(0), Outcome.DONE, 4000);
+    assertEquals(Role.WRITE, role(w, third.forwards.get(0)));
+  }
+
+  @Test
+  void readsBackedUpAreReadAtTheWriter() {
+    World w = ready();
+    long local = 0;
+    for (int i = 0; i < 60; i++) {
+      Job j = w.accept(0, 100 + i, 0, 2500, 0, BUDGET);
+      local += j.forwards.stream().filter(f -> role(w, f) == Role.WRITE).count();
+    }
+    assertTrue(local > 0 && local < 60, "local reads: " + local);
+  }
+
+  @Test
+  void aSharedBeginningGoesToOneReaderOfACell() {
+    World w = ready();
+    List<Long> readers = new java.util.ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      Job j = w.accept(0, 100 + i, 77, 4000, 100, BUDGET);
+      readers.add(j.forwards.get(0).server);
+      w.end(run(w, j), Outcome.DONE, 0);
+      w.now = w.now.plus(World.ms(12_000));
+    }
+    assertTrue(readers.stream().distinct().count() <= 2, readers.toString());
+  }
+
+  // ---- failures found
+
+  @Test
+  void aReadThatEndsAfterItsReqIsDropped() {
+    World w = ready();
+    Job j = w.accept(0, 1, 0, 4000, 0, BUDGET);
+    j.ended = true;
+    w.step(new Event.HungUp(j.in.req()));
+    w.end(j.forwards.get(0), Outcome.READ, 0);
+    assertTrue(w.last.contains(new Action.Drop(j.in.req())));
+  }
+
+  @Test
+  void aStateThatIsGoneIsReadAgain() {
+    World w = ready();
+    Job j = w.accept(0, 1, 0, 4000, 0, BUDGET);
+    w.end(j.forwards.get(0), Outcome.READ, 0);
+    w.end(j.forwards.get(1), Outcome.FULL, 1);
+    assertEquals(3, j.forwards.size());
+  }
+
+  @Test
+  void aServerThatFailsIsSetAsideAndComesBackByATrickle() {
+    World w = ready();
+    Job j = w.accept(0, 1, 9, 4000, 3000, BUDGET);
+    long bad = j.forwards.get(0).server;
+    for (int i = 0; i < 4; i++) {
+      if (j.forwards.get(0).server == bad) {
+        w.end(j.forwards.get(0), Outcome.ERROR, 0);
+      }
+      w.now = w.now.plus(World.ms(5));
+      j = w.accept(0, 10 + i, 9, 4000, 3000, BUDGET);
+    }
+    assertNotEquals(bad, j.forwards.get(0).server);
+    boolean back = false;
+    for (int i = 0; i < 200 && !back; i++) {
+      w.now = w.now.plus(World.ms(100));
+      w.step(new Event.Wake(0));
+      if (w.last.contains(new Action.Probe(bad))) {
+        w.step(new Event.Probed(bad, Outcome.DONE, World.ms(1), new double[0]));
+      }
+      Job k = w.accept(0, 1000 + i, 9, 4000, 3000, BUDGET);
+      back = k.forwards.get(0).server == bad;
+      w.end(run(w, k), Outcome.DONE, 0);
+    }
+    assertTrue(back, "never tried again");
+  }
+
+  @Test
+  void nothingGoesToAServerToldToDrain() {
+    World w = ready();
+    Job j = w.accept(0, 1, 0, 4000, 0, BUDGET);
+    for (Event.Line l : List.copyOf(w.list.values())) {
+      if (w.set.kinds().get(l.kind()).role() == Role.WRITE && l.cell() == 0) {
+        w.tell(w.line(l.server(), l.kind(), l.cell(), Event.State.DRAINING, null));
+      }
+    }
+    w.end(j.forwards.get(0), Outcome.READ, 0);
+    assertEquals(1, w.list.get(j.forwards.get(1).server).cell());
+  }
+
+  @Test
+  void aColdServerGetsLittleAtFirst() {
+    World w = ready();
+    w.tell(w.line(1, 0, 0, Event.State.READY, w.now));
+    int cold = 0;
+    for (int i = 0; i < 20; i++) {
+      w.now = w.now.plus(World.ms(50));
+      Job j = w.accept(0, 100 + i, 0, 4000, 0, BUDGET);
+      cold += j.forwards.get(0).server == 1 ? 1 : 0;
+    }
+    assertTrue(cold <= 1, "sent " + cold);
+  }
+
+  @Test
+  void aReqWithNoServerIsPushedBackAtOnce() {
+    World w = new World(World.plain(), 1);
+    w.step(new Event.ServerList(Event.ListForm.REMEMBERED, List.of()));
+    Job j = w.accept(0, 1, 0, 4000, 0, BUDGET);
+    assertEquals(1, j.answers);
+    assertTrue(w.last.get(w.last.size() - 1) instanceof Action.PushBack);
+  }
+
+  @Test
+  void eventsOfNothingKnownAreIgnored() {
+    World w = ready();
+    w.step(new Event.HungUp(99), new Event.FirstToken(99, 0, World.ms(1), 5),
+        new Event.Ended(99, 3, Outcome.DONE, 5, 0, true, World.ms(1), new double[0]),
+        new Event.Probed(12345, Outcome.DONE, World.ms(1), new double[0]), new Event.Held(99, 0, 1, true));
+    assertTrue(w.last.stream().noneMatch(a -> !(a instanceof Action.Alarm)));
+  }
+}
