--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -7,22 +7,9 @@
 import gapproxy.api.Settings.EndpointGroup;
 import gapproxy.api.Settings.Repeat;
 import gapproxy.api.Settings.Role;
-import gapproxy.api.Settings.Scope;
 import gapproxy.api.Settings.Source;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.EnumSet;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.TreeMap;
+import java.util.*;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
@@ -36,7 +23,7 @@
 public final class Rules {
   // The design's figures.
   private static final double READ_REMOTELY_OVER = 300;      // uncached tokens
-  private static final double READS_PER_READER = 4;           // the gauge's limit for each reader of the cell
+  private static final double READS_PER_READER = 10;          // the gauge's limit for each reader of the cell
   private static final double LEAVE_READER_OVER = 2;          // times the reads of the least-busy reader
   private static final Duration KEPT_FOR = Duration.ofSeconds(10);
   private static final double ROOM_PER_1000_UNCACHED = 0.06;  // room weights, as shares of a writer
@@ -53,8 +40,15 @@
   private static final Duration LONGEST_TRICKLE = Duration.ofSeconds(3);
   private static final int FURTHER = 2;
   private static final double COLD_PART = 0.5;
-  private static final double FULL_LOAD = 0.95;
+  private static final double FIRST_WAIT = 0.05;              // seconds; each further bin is twice as long
+  private static final int BEATS_TO_FORGET_WAITS = 10;
+  private static final double ROOM_PER_SECOND_WAITED = 0.1;
+  private static final double READS_PER_SECOND_WAITED = 1;
   private static final double LATE_SHARE = 0.35;
+  private static final double LEAST_LOAD = 0.8;
+  private static final double MOST_LOAD = 1.0;
+  private static final double LEAST_WAIT = 0.6;               // parts of the response target
+  private static final double MOST_WAIT = 1.2;
   private static final Duration PROBE_EVERY = Duration.ofMillis(500);
   private static final Duration REPORT_LAG = Duration.ofMillis(400);
   private static final Duration REPORT_OLD = Duration.ofSeconds(3);
@@ -199,46 +193,6 @@
 
   // ---- what is measured
 
-  /** A small histogram of coarse bins, halved from time to time. */
-  private static final class Tally {
-    private final double[] bins;
-
-    Tally(int n) {
-      bins = new double[n];
-    }
-
-    void add(int bin, double weight) {
-      bins[Math.max(0, Math.min(bins.length - 1, bin))] += weight;
-    }
-
-    void halve() {
-      for (int i = 0; i < bins.length; i++) {
-        bins[i] /= 2;
-      }
-    }
-
-    double sum() {
-      double all = 0;
-      for (double b : bins) {
-        all += b;
-      }
-      return all;
-    }
-
-    double share(int bin) {
-      return bins[bin] / Math.max(1, sum());
-    }
-
-    int middle() {
-      double left = sum() / 2;
-      int i = 0;
-      while (i < bins.length - 1 && (left -= bins[i]) > 0) {
-        i++;
-      }
-      return i;
-    }
-  }
-
   /** What the servers of one role do together. */
   private static final class Pool {
     final Tally pace = new Tally(12);
@@ -253,6 +207,11 @@
       }
     }
 
+    /** Seconds that reading so much takes when nothing waits. */
+    double usual(double toRead) {
+      return Math.pow(2, pace.quantile(0.25)) / 1e6 * (500 + toRead);
+    }
+
     /** Forwards a second that went well at one warm server; the fading sum spans two seconds. */
     double rate() {
       return worked / (seconds(BEAT) / 0.05) / Math.max(1, warm);
@@ -268,7 +227,8 @@
     final Deque<Kept> recent = new ArrayDeque<>();            // tokens sent lately, for the reports' lag
     final Deque<Duration> whileCold = new ArrayDeque<>();
     final Tally went = new Tally(2);                          // well, badly
-    final Tally pace = new Tally(12);
+    final Tally waits = new Tally(8);                         // till the first token or the end of the read
+    final Set<Try> unbegun = new LinkedHashSet<>();
     Event.Line line;
     boolean listed = true;
     int reads;
@@ -347,10 +307,19 @@
       return now.compareTo(nextTrickle) >= 0 && (probed || !set.limits().probes()) && reads + open == 0;
     }
 
-    /** How much slower it is than the others of its role, from coarse bins a factor of two apart. */
-    double slowness() {
-      int apart = pace.sum() < 3 ? 0 : pace.middle() - pools.get(role()).pace.middle();
-      return apart < 2 ? 1 : 1 << apart;
+    /**
+     * How long its forwards wait, in seconds. Guards against servers that are slow, jammed or silent, whatever
+     * the cause and whether or not reports come: what has waited longest counts before any outcome is in.
+     */
+    double delay() {
+      double seen = waits.sum() < 0.5 ? 0 : FIRST_WAIT * (1 << waits.quantile(0.5));
+      Try first = unbegun.isEmpty() ? null : unbegun.iterator().next();
+      return first == null ? seen : Math.max(seen, excess(first, now.minus(first.sentAt)));
+    }
+
+    /** What a forward took beyond the reading that it asked for. */
+    private double excess(Try t, Duration took) {
+      return Math.max(0.01, seconds(took) - (t.read ? pools.get(role()).usual(t.toRead) : 0));
     }
 
     boolean heard() {
@@ -384,7 +353,11 @@
         load += 0.5;
       }
       load += ROOM_PER_1000_UNCACHED * unread / 1000;
-      return (load + 0.05) * slowness() / strength();
+      return load + 0.05;
+    }
+
+    double room(double average) {
+      return load(average < 0 ? ownLoad() : average);
     }
 
     double believed(Event.Accept a) {
@@ -432,12 +405,14 @@
     }
 
     private void sent(Try t) {
+      unbegun.add(t);
       if (t.read) {
         reads++;
       } else {
         open++;
         held += t.weight;
-        unread += t.toRead;
+        t.unread = t.toRead;
+        unread += t.unread;
         recent.add(new Kept(t.weight, now));
       }
       if (cold()) {
@@ -450,8 +425,9 @@
     }
 
     private void begun(Try t) {
-      unread -= t.begun || t.read ? 0 : t.toRead;
-      t.begun = true;
+      unbegun.remove(t);
+      unread -= t.local ? t.unread : 0;
+      t.unread = 0;
     }
 
     private void over(Try t, Event.Ended how) {
@@ -514,7 +490,7 @@
       if (well) {
         pools.get(role()).worked += weight;
         int bin = (int) Math.floor(Math.log(seconds(took) * 1e6 / (500 + t.toRead)) / Math.log(2));
-        pace.add(bin, 1);
+        waits.add((int) Math.ceil(Math.log(excess(t, took) / FIRST_WAIT) / Math.log(2)), 1);
         pools.get(role()).pace.add(bin, 1);
         if (aside) {
           gap = gap.dividedBy(2);
@@ -522,12 +498,12 @@
           probed = true;
           if (gap.compareTo(LAST_TRICKLE) < 0) {
             aside = false;
-            went.bins[1] = 0;
+            went.clear(1);
           }
         }
       } else if (aside) {
         setBack();
-      } else if (went.bins[1] >= BAD_LEAST && went.share(1) >= BAD_SHARE) {
+      } else if (went.count(1) >= BAD_LEAST && went.share(1) >= BAD_SHARE) {
         long like = servers.values().stream().filter(s -> s.ready() && s.role() == role()).count();
         long off = servers.values().stream().filter(s -> s.ready() && s.role() == role() && s.aside).count();
         if (2 * (off + 1) <= like) {
@@ -561,9 +537,11 @@
         out.add(new Action.Probe(id));
         nextProbe = now.plus(PROBE_EVERY);
       }
+      if (beats % BEATS_TO_FORGET_WAITS == 0) {
+        waits.halve();
+      }
       if (halve) {
         went.halve();
-        pace.halve();
       }
     }
   }
@@ -591,9 +569,9 @@
         }
         continue;
       }
-      double cost = s.load(average < 0 ? s.ownLoad() : average)
+      double cost = s.room(average) / s.strength() + ROOM_PER_SECOND_WAITED * s.delay()
           + (reading ? ROOM_PER_1000_UNCACHED * (r.in.prompt() - s.believed(r.in)) / 1000 : 0)
-          + (reading ? ROOM_PER_READ_OUT * Math.min(READS_PER_READER, readsOut(s)) : 0)
+          + (reading ? ROOM_PER_READ_OUT * Math.min(4, readsOut(s)) : 0)
           + (s.line.zone() == set.zone() ? 0 : ROOM_OTHER_ZONE) + chance.nextDouble() * ROOM_CHANCE;
       if (cost < least) {
         least = cost;
@@ -647,7 +625,7 @@
   }
 
   private double busy(Server s) {
-    return s.reads * s.slowness() / s.strength();
+    return (s.reads + READS_PER_SECOND_WAITED * s.delay()) / s.strength();
   }
 
   private static long mixed(long z) {
@@ -708,8 +686,8 @@
     final Duration sentAt;
     double believed;
     double toRead;
+    double unread;
     boolean local;
-    boolean begun;
     Outcome how;
 
     Try(Req req, Server at, int number, boolean read, Duration sentAt) {
@@ -739,6 +717,7 @@
     boolean holding;
     Server companion;
     Server stateAt;
+    double rank = 1;
 
     Req(Event.Accept in) {
       this.in = in;
@@ -757,11 +736,8 @@
     void take(Object note) {
       if (note instanceof Event.Accept) {
         meanPrompt += (in.prompt() - meanPrompt) / 50;
-        if (overloadTurnsAway()) {
-          giveUp();
-        } else {
-          plan();
-        }
+        rank = rank();
+        plan();
       } else if (note instanceof Event.FirstToken f && f.forward() < tries.size()) {
         begun = true;
         stateAt = null;
@@ -797,7 +773,9 @@
           rd = rd != null ? rd : reader(this, s -> true);
         }
       }
-      if (rd != null) {
+      if (tooLate(rd, companion)) {
+        giveUp();
+      } else if (rd != null) {
         send(this, rd, true, patience(rd, in.prompt()));
         if (set.holdAhead() && open(this, companion)) {
           holding = true;
@@ -835,9 +813,8 @@
       if (true || overloaded() || further >= FURTHER) {
         return left();
       }
-      double pace = Math.pow(2, pools.get(s.role()).pace.middle() + 1) / 1e6;
-      double usual = 0.2 + 3 * pace * (500 + toRead);
-      return Duration.ofMillis((long) (1000 * Math.max(usual, 0.5 * seconds(target()))));
+      double usual = Math.pow(2, pools.get(s.role()).pace.quantile(0.95) + 1) / 1e6 * (500 + toRead);
+      return Duration.ofMillis((long) (1000 * Math.max(2 * usual, 0.45 * seconds(target()))));
     }
 
     private void ended(Try t, Event.Ended e) {
@@ -887,25 +864,28 @@
       return lateness.sum() > 6 && lateness.share(1) + lateness.share(2) > LATE_SHARE;
     }
 
+    /** What the req earns beside the best, less beyond its customer's share. */
+    private double rank() {
+      double most = set.groups().stream().mapToDouble(EndpointGroup::importance).max().orElse(1);
+      boolean counted = in.customer() < allowance.length;
+      boolean within = !counted || allowance[in.customer()] >= 1;
+      if (counted && within) {
+        allowance[in.customer()]--;
+      }
+      return group.importance() / Math.max(1e-9, most) * (within ? 1 : set.overShareWorth());
+    }
+
     /**
      * Overload pushback. Guards against more work than the fleet can do, from bursts, retries or lost servers:
-     * what earns least goes first, beyond-share traffic ahead of the rest. It could harm where a few bad servers
-     * make the whole look late.
+     * a req that would wait too much of its response target is turned away before any work is done for it, what
+     * earns least first. It could harm where a few slow servers make the best choice look late.
      */
-    private boolean overloadTurnsAway() {
-      double most = set.groups().stream().mapToDouble(EndpointGroup::importance).max().orElse(1);
-      double rank = group.importance() / Math.max(1e-9, most);
-      if (in.customer() < allowance.length) {
-        if (allowance[in.customer()] < 1) {
-          rank *= set.overShareWorth();
-        } else {
-          allowance[in.customer()]--;
-        }
-      }
+    private boolean tooLate(Server rd, Server wr) {
+      double wait = (rd == null ? 0 : rd.delay()) + wr.delay();
       double average = averageLoad();
-      double least = servers.values().stream().filter(s -> s.writer() && s.ready() && !s.aside)
-          .mapToDouble(s -> s.load(average < 0 ? s.ownLoad() : average)).min().orElse(0);
-      return least > FULL_LOAD + 0.2 * rank || chance.nextDouble() < level * (1.2 - rank);
+      return tries.isEmpty() && !wr.aside && (rd == null || !rd.aside)
+          && (wr.room(average) > LEAST_LOAD + (MOST_LOAD - LEAST_LOAD) * rank || wait > seconds(target()) * (LEAST_WAIT + (MOST_WAIT - LEAST_WAIT) * rank)
+              || chance.nextDouble() < 0 * level * (1.2 - rank));
     }
 
     /** The one place of the final answers that this gateway gives; what is held goes with it. */
@@ -913,7 +893,7 @@
       closed = true;
       letGo();
       boolean harmless = group.repeat() == Repeat.REPLAYABLE
-          || group.repeat() == Repeat.KEYED && group.scope() == Scope.ALL
+          || group.repeat() == Repeat.KEYED && group.scope() == Settings.Scope.ALL
           || tries.stream().noneMatch(Try::mayHaveRun);
       if (harmless) {
         Duration wait = Duration.ofMillis(300 + chance.nextInt(700));
