--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -23,7 +23,7 @@
 public final class Rules {
   // The design's figures.
   private static final double READ_REMOTELY_OVER = 300;      // uncached tokens
-  private static final double READS_PER_READER = 10;          // the gauge's limit for each reader of the cell
+  private static final double READS_PER_READER = 4;           // the gauge's limit for each reader of the cell
   private static final double LEAVE_READER_OVER = 2;          // times the reads of the least-busy reader
   private static final Duration KEPT_FOR = Duration.ofSeconds(10);
   private static final double ROOM_PER_1000_UNCACHED = 0.06;  // room weights, as shares of a writer
@@ -361,7 +361,7 @@
     }
 
     double believed(Event.Accept a) {
-      if (writer() && memoryTaken() > 0.4) {
+      if (writer() && memoryTaken() > 0.25) {
         return 0;
       }
       return Math.max(a.session() == 0 ? 0 : found(a.session(), a.prompt()),
