--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -45,6 +45,7 @@
   private static final double ROOM_PER_SECOND_WAITED = 0.1;
   private static final double READS_PER_SECOND_WAITED = 1;
   private static final double LATE_SHARE = 0.35;
+  private static final double TIGHT = 0.25;                   // of a writer's memory
   private static final double LEAST_LOAD = 0.8;
   private static final double MOST_LOAD = 1.0;
   private static final double LEAST_WAIT = 0.6;               // parts of the response target
@@ -361,7 +362,7 @@
     }
 
     double believed(Event.Accept a) {
-      if (writer() && memoryTaken() > 0.25) {
+      if (writer() && memoryTaken() > TIGHT) {
         return 0;
       }
       return Math.max(a.session() == 0 ? 0 : found(a.session(), a.prompt()),
@@ -764,7 +765,7 @@
         return;
       }
       double uncached = in.prompt() - companion.believed(in);
-      boolean remote = uncached > READ_REMOTELY_OVER && readsOut(companion) < READS_PER_READER;
+      boolean remote = uncached > READ_REMOTELY_OVER && (companion.memoryTaken() > TIGHT || readsOut(companion) < READS_PER_READER);
       Server rd = null;
       if (remote || !companion.readsItself()) {
         rd = reader(this, s -> s.line.cell() == companion.line.cell());
