--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -29,7 +29,7 @@
   private static final double ROOM_PER_1000_UNCACHED = 0.06;  // room weights, as shares of a writer
   private static final double ROOM_OTHER_ZONE = 0.40;
   private static final double ROOM_PER_READ_OUT = 0.15;       // for each read out per reader of its cell
-  private static final double ROOM_CHANCE = 0.10;
+  private static final double ROOM_CHANCE = 0.25;
   // The mechanisms' figures.
   private static final Duration BEAT = Duration.ofMillis(100);
   private static final int BEATS_TO_HALVE = 40;
@@ -46,8 +46,8 @@
   private static final double READS_PER_SECOND_WAITED = 1;
   private static final double LATE_SHARE = 0.35;
   private static final double TIGHT = 0.25;                   // of a writer's memory
-  private static final double LEAST_LOAD = 0.8;
-  private static final double MOST_LOAD = 1.0;
+  private static final double LEAST_LOAD = 0.95;
+  private static final double MOST_LOAD = 1.15;
   private static final double LEAST_WAIT = 0.6;               // parts of the response target
   private static final double MOST_WAIT = 1.2;
   private static final Duration PROBE_EVERY = Duration.ofMillis(500);
