--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -26,10 +26,10 @@
   private static final double READS_PER_READER = 4;           // the gauge's limit for each reader of the cell
   private static final double LEAVE_READER_OVER = 2;          // times the reads of the least-busy reader
   private static final Duration KEPT_FOR = Duration.ofSeconds(10);
-  private static final double ROOM_PER_1000_UNCACHED = 0.06;  // room weights, as shares of a writer
+  private static final double ROOM_PER_1000_UNCACHED = 0.10;  // room weights, as shares of a writer
   private static final double ROOM_OTHER_ZONE = 0.40;
   private static final double ROOM_PER_READ_OUT = 0.15;       // for each read out per reader of its cell
-  private static final double ROOM_CHANCE = 0.25;
+  private static final double ROOM_CHANCE = 0.15;
   // The mechanisms' figures.
   private static final Duration BEAT = Duration.ofMillis(100);
   private static final int BEATS_TO_HALVE = 40;
@@ -39,18 +39,16 @@
   private static final Duration LAST_TRICKLE = Duration.ofMillis(80);
   private static final Duration LONGEST_TRICKLE = Duration.ofSeconds(3);
   private static final int FURTHER = 2;
-  private static final double PATIENCE = 3;                   // times what most such forwards take
+  private static final double PATIENCE = 8;                   // times what most such forwards take
   private static final double COLD_PART = 0.5;
   private static final double FIRST_WAIT = 0.05;              // seconds; each further bin is twice as long
   private static final int BEATS_TO_FORGET_WAITS = 10;
-  private static final double ROOM_PER_SECOND_WAITED = 0.1;
-  private static final double READS_PER_SECOND_WAITED = 1;
   private static final double LATE_SHARE = 0.35;
   private static final double TIGHT = 0.25;                   // of a writer's memory
   private static final double LEAST_LOAD = 0.95;
   private static final double MOST_LOAD = 1.15;
-  private static final double LEAST_WAIT = 0.6;               // parts of the response target
-  private static final double MOST_WAIT = 1.2;
+  private static final double LEAST_WAIT = 0.8;               // parts of the response target
+  private static final double MOST_WAIT = 1.5;
   private static final Duration PROBE_EVERY = Duration.ofMillis(500);
   private static final Duration REPORT_LAG = Duration.ofMillis(400);
   private static final Duration REPORT_OLD = Duration.ofSeconds(3);
@@ -259,10 +257,8 @@
 
     /** The part of its work that it can do at least. */
     double strength() {
-      if (!cold()) {
-        return 1;
-      }
-      double grown = Math.max(0, seconds(now.minus(line.upSince())) / seconds(set.cold().warmWithin()));
+      double age = cold() ? Math.max(0, seconds(now.minus(line.upSince()))) : 1e9;
+      double grown = Math.min(1, age / seconds(set.cold().warmWithin()));
       return set.cold().leastCapacity() + (1 - set.cold().leastCapacity()) * grown;
     }
 
@@ -272,14 +268,11 @@
      * machine; it could starve a server when starts are frequent.
      */
     boolean coldRoom() {
-      if (!cold()) {
-        return true;
-      }
       Duration from = now.minus(set.cold().tipSpan());
       whileCold.removeIf(t -> t.compareTo(from) <= 0);
       double part = Math.min(1, set.cold().tipMultiple() * strength()) * COLD_PART;
       part *= pools.get(role()).rate() * seconds(set.cold().tipSpan());
-      return whileCold.size() + 1 <= Math.max(1, part);
+      return !cold() || whileCold.size() + 1 <= Math.max(1, part);
     }
 
     boolean mayTrickle() {
@@ -364,7 +357,10 @@
         Duration from = now.minus(REPORT_LAG);
         recent.removeIf(k -> k.at.compareTo(from) < 0);
       } else if (note instanceof Shown s) {
-        shown(s.outcome == Outcome.DONE);
+        if (aside && s.outcome != Outcome.DONE) {
+          setBack();
+        }
+        probed = s.outcome == Outcome.DONE;
       } else if (note instanceof Beat b) {
         beat(b.halve);
       }
@@ -429,10 +425,6 @@
         kept.remove(a.shared());
         kept.put(a.shared(), new Kept(a.sharedPart(), now));
       }
-      Iterator<Kept> oldest = kept.values().iterator();
-      while (oldest.hasNext() && now.minus(oldest.next().at).compareTo(KEPT_FOR) > 0) {
-        oldest.remove();
-      }
     }
 
     /**
@@ -447,9 +439,9 @@
     }
 
     /**
-     * Health. Guards against servers that fail, fall silent or can't be reached, whatever the cause: one whose
-     * forwards go badly is set aside and gets a trickle that doubles while it goes well. Never most of a role,
-     * since then the trouble lies elsewhere. It could harm where short bad luck looks like a fault.
+     * Health. Guards against servers that fail, fall silent or can't be reached, whatever the cause: one that
+     * does badly is set aside and gets a trickle that doubles while it goes well. Never most of a role, since
+     * then the trouble lies elsewhere. It could harm where short bad luck looks like a fault.
      */
     private void judge(boolean well, Try t, Duration took) {
       went.add(well ? 0 : 1, 1);
@@ -487,14 +479,6 @@
       nextProbe = nextTrickle;
     }
 
-    private void shown(boolean well) {
-      if (aside && !well) {
-        setBack();
-      } else if (aside) {
-        probed = true;
-      }
-    }
-
     /** Probing: asks for reports that come no other way, and whether a server set aside answers again. */
     private void beat(boolean halve) {
       boolean wanted = aside ? !probed : set.reports().source() == Source.BY_PROBE;
@@ -507,6 +491,7 @@
       }
       if (halve) {
         went.halve();
+        kept.values().removeIf(k -> now.minus(k.at).compareTo(KEPT_FOR) > 0);
       }
     }
   }
@@ -532,9 +517,9 @@
       } else if (s.aside) {
         continue;
       }
-      double cost = s.load(average) / s.strength() + ROOM_PER_SECOND_WAITED * s.delay()
-          + (reading ? ROOM_PER_1000_UNCACHED * (r.in.prompt() - s.believed(r.in)) / 1000 : 0)
-          + (reading ? ROOM_PER_READ_OUT * Math.min(4, readsOut(s)) : 0)
+      double cost = s.load(average) / s.strength()
+          + (reading ? ROOM_PER_1000_UNCACHED * (r.in.prompt() - s.believed(r.in)) / 1000
+              + ROOM_PER_READ_OUT * Math.min(READS_PER_READER, readsOut(s)) : 0)
           + (s.line.zone() == set.zone() ? 0 : ROOM_OTHER_ZONE) + chance.nextDouble() * ROOM_CHANCE;
       if (cost < least) {
         least = cost;
@@ -544,7 +529,7 @@
     return best;
   }
 
-  /** The gauge, for each reader of the cell: own reads out, or what is reported to wait where that is more. */
+  /** The gauge, for each reader of the cell: own reads out, or what is reported to wait if that is more. */
   private double readsOut(Server companion) {
     double own = 0;
     double told = 0;
@@ -586,7 +571,7 @@
     return picked != null && busy(picked) > LEAVE_READER_OVER * Math.max(1, busy(least)) ? least : picked;
   }
 
-  private double busy(Server s) { return (s.reads + READS_PER_SECOND_WAITED * s.delay()) / s.strength(); }
+  private double busy(Server s) { return s.reads / s.strength(); }
 
   private static long mixed(long z) {
     z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
@@ -598,10 +583,8 @@
 
   private boolean open(Req r, Server s) {
     if (r.closed || r.begun || !s.ready() || !s.coldRoom() || s.aside && !s.mayTrickle()
-        || r.tries.size() >= set.limits().forwards() || r.left().compareTo(set.tick()) <= 0) {
-      return false;
-    }
-    if (r.running > 0 && !set.limits().copies()) {
+        || r.tries.size() >= set.limits().forwards() || r.left().compareTo(set.tick()) <= 0
+        || r.running > 0 && !set.limits().copies()) {
       return false;
     }
     for (Try t : r.tries) {
@@ -754,9 +737,9 @@
     }
 
     /**
-     * Time-outs. Guards against servers and links that fall silent: past the response target, and far past what
-     * others take, a forward is ended so that another may still be in time. None but the deadline while
-     * overload is seen, since then a further forward only adds to it; it wastes what the first has done.
+     * Time-outs. Guards against servers and links that fall silent: past the response target and far past
+     * what others take a forward is ended, so that another can be sent. None but the deadline while overload
+     * is seen, since a further forward would add to it. It could harm by wasting what was nearly done.
      */
     private Duration patience(Server s, double toRead) {
       if (overloaded() || further >= FURTHER) {
@@ -812,9 +795,9 @@
     }
 
     /**
-     * Overload pushback. Guards against more work than the fleet can do, from bursts, retries or lost servers:
+     * Overload pushback. Guards against more work than the fleet can do, from bursts, retries, lost servers:
      * a req that would wait too much of its response target, or finds its writer full, is turned away before
-     * any work is done, what earns least first. It could harm where a few slow servers make the best look late.
+     * any work is done, what earns least first. It could harm where one slow server makes the rest look late.
      */
     private boolean tooLate(Server rd, Server wr) {
       double wait = (rd == null ? 0 : rd.delay()) + wr.delay();
@@ -831,9 +814,8 @@
           || group.repeat() == Repeat.KEYED && group.scope() == Settings.Scope.ALL
           || tries.stream().noneMatch(Try::mayHaveRun);
       if (harmless) {
-        Duration wait = Duration.ofMillis(300 + chance.nextInt(700));
-        Duration longest = set.limits().longestRetryAdvice();
-        out.add(new Action.PushBack(in.req(), set.limits().retryAdvice() ? least(wait, longest) : Duration.ZERO));
+        Duration wait = least(Duration.ofMillis(300 + chance.nextInt(700)), set.limits().longestRetryAdvice());
+        out.add(new Action.PushBack(in.req(), set.limits().retryAdvice() ? wait : Duration.ZERO));
       } else {
         out.add(new Action.Abort(in.req()));
       }
