--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -814,7 +814,8 @@
           || group.repeat() == Repeat.KEYED && group.scope() == Settings.Scope.ALL
           || tries.stream().noneMatch(Try::mayHaveRun);
       if (harmless) {
-        Duration wait = least(Duration.ofMillis(300 + chance.nextInt(700)), set.limits().longestRetryAdvice());
+        Duration wait = least(Duration.ofMillis(300 + chance.nextInt(700)),
+            set.limits().longestRetryAdvice());
         out.add(new Action.PushBack(in.req(), set.limits().retryAdvice() ? wait : Duration.ZERO));
       } else {
         out.add(new Action.Abort(in.req()));
