--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -125,6 +125,8 @@
 
   private record Shown(Outcome outcome) {}
 
+  private record Claimed(Req by) {}
+
   private record Removed() {}
 
   private record Beat(boolean halve) {}
@@ -227,6 +229,7 @@
     double[] report;
     Duration heardAt, fullAt, nextProbe;
     boolean aside, probed;
+    Req trickleFor;                                           // its writing comes after a read elsewhere
     Duration gap = FIRST_TRICKLE;
     Duration nextTrickle = Duration.ZERO;
 
@@ -275,8 +278,9 @@
       return !cold() || whileCold.size() + 1 <= Math.max(1, part);
     }
 
-    boolean mayTrickle() {
-      return now.compareTo(nextTrickle) >= 0 && (probed || !set.limits().probes()) && reads + open == 0;
+    boolean mayTrickle(Req r) {
+      return trickleFor == r || now.compareTo(nextTrickle) >= 0 && unbegun.isEmpty()
+          && (probed || !set.limits().probes());
     }
 
     /**
@@ -338,11 +342,16 @@
           kept.clear();
           report = null;
           waits = new Tally(8);
+          aside = false;
+          went.clear(1);
         }
         line = l;
         listed = true;
       } else if (note instanceof Removed) {
         listed = false;
+      } else if (note instanceof Claimed c) {
+        trickleFor = c.by;
+        nextTrickle = now.plus(gap);
       } else if (note instanceof Sent s) {
         sent(s.t);
       } else if (note instanceof Begun b) {
@@ -475,8 +484,9 @@
     private void setBack() {
       gap = least(LONGEST_TRICKLE, gap.compareTo(FIRST_TRICKLE) < 0 ? FIRST_TRICKLE : gap.multipliedBy(2));
       nextTrickle = now.plus(gap);
-      probed = false;
       nextProbe = nextTrickle;
+      probed = false;
+      trickleFor = null;
     }
 
     /** Probing: asks for reports that come no other way, and whether a server set aside answers again. */
@@ -582,7 +592,7 @@
   // ---- the send gate: every rule on what may be sent stands here
 
   private boolean open(Req r, Server s) {
-    if (r.closed || r.begun || !s.ready() || !s.coldRoom() || s.aside && !s.mayTrickle()
+    if (r.closed || r.begun || !s.ready() || !s.coldRoom() || s.aside && !s.mayTrickle(r)
         || r.tries.size() >= set.limits().forwards() || r.left().compareTo(set.tick()) <= 0
         || r.running > 0 && !set.limits().copies()) {
       return false;
@@ -698,6 +708,9 @@
         giveUp();
         return;
       }
+      if (companion.aside) {
+        post(companion, new Claimed(this));
+      }
       double uncached = in.prompt() - companion.believed(in);
       boolean remote = uncached > READ_REMOTELY_OVER
           && (readsOut(companion) < READS_PER_READER || companion.taken() > TIGHT);
@@ -723,7 +736,7 @@
 
     /** After the read: the companion, or if it went bad another writer, near ones first. */
     private void write() {
-      Server w = companion != null && !companion.aside && open(this, companion) ? companion : null;
+      Server w = companion != null && open(this, companion) ? companion : null;
       Event.Line from = stateAt.line;
       w = w != null ? w : writer(this, false, s -> s.line.cell() == from.cell());
       w = w != null ? w : writer(this, false, s -> s.line.zone() == from.zone());
