--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -62,7 +62,7 @@
   private final Deque<Actor> serverMail = new ArrayDeque<>();
   private final Deque<Actor> reqMail = new ArrayDeque<>();
   private final Map<Role, Pool> pools = new HashMap<>();
-  private final Tally lateness = new Tally(3);                // in time, late, turned away or failed
+  private final Tally lateness = new Tally(2);                // begun in time, begun late or failed
   private final double[] allowance;                           // reqs within each customer's share, saved up
   private List<Action> out = new ArrayList<>();
   private Duration now = Duration.ZERO;
@@ -136,12 +136,8 @@
       Req r = new Req(a);
       reqs.put(a.req(), r);
       post(r, a);
-    } else if (e instanceof Event.FirstToken f && reqs.containsKey(f.req())) {
-      post(reqs.get(f.req()), f);
-    } else if (e instanceof Event.Ended d && reqs.containsKey(d.req())) {
-      post(reqs.get(d.req()), d);
-    } else if (e instanceof Event.HungUp h && reqs.containsKey(h.req())) {
-      post(reqs.get(h.req()), h);
+    } else if (e instanceof Event.OfReq o && reqs.containsKey(o.req())) {
+      post(reqs.get(o.req()), e);
     } else if (e instanceof Event.Probed p && servers.containsKey(p.server())) {
       Server s = servers.get(p.server());
       post(s, new Heard(p.report()));
@@ -247,10 +243,7 @@
 
     boolean readsItself() { return role() == Role.BOTH || set.writersRead(); }
 
-    double memory() {
-      double tokens = set.kinds().get(line.kind()).memoryTokens();
-      return tokens > 0 ? tokens : 100_000;
-    }
+    double memory() { return Math.max(1, set.kinds().get(line.kind()).memoryTokens()); }
 
     boolean ready() { return listed && line.state() == Event.State.READY; }
 
@@ -279,8 +272,8 @@
     }
 
     boolean mayTrickle(Req r) {
-      return trickleFor == r || now.compareTo(nextTrickle) >= 0 && unbegun.isEmpty()
-          && (probed || !set.limits().probes());
+      boolean due = now.compareTo(nextTrickle) >= 0 && unbegun.isEmpty();
+      return trickleFor == r || due && (probed || !set.limits().probes());
     }
 
     /**
@@ -366,10 +359,8 @@
         Duration from = now.minus(REPORT_LAG);
         recent.removeIf(k -> k.at.compareTo(from) < 0);
       } else if (note instanceof Shown s) {
-        if (aside && s.outcome != Outcome.DONE) {
-          setBack();
-        }
         probed = s.outcome == Outcome.DONE;
+        nextProbe = aside && !probed ? now.plus(gap) : nextProbe;
       } else if (note instanceof Beat b) {
         beat(b.halve);
       }
@@ -782,7 +773,7 @@
         write();
         return;
       }
-      lateness.add(2, e.outcome() == Outcome.CANCELLED ? 0 : 1);
+      lateness.add(1, e.outcome() == Outcome.CANCELLED ? 0 : 1);
       if (further >= FURTHER || overloaded() || begun) {
         giveUp();
         return;
@@ -796,9 +787,7 @@
       }
     }
 
-    private boolean overloaded() {
-      return lateness.sum() > 6 && lateness.share(1) + lateness.share(2) > LATE_SHARE;
-    }
+    private boolean overloaded() { return lateness.sum() > 6 && lateness.share(1) > LATE_SHARE; }
 
     /** What the req earns beside the best, less beyond its customer's share. */
     private double rank() {
--- a/src/main/java/gapproxy/api/Event.java
+++ b/src/main/java/gapproxy/api/Event.java
@@ -13,6 +13,11 @@
   /** One line of the list; {@code upSince} is null where the server started long ago. */
   record Line(long server, int zone, int kind, int cell, State state, double size, Duration upSince) {}
 
+  /** An event that concerns one req taken before. */
+  sealed interface OfReq extends Event {
+    long req();
+  }
+
   record ServerList(ListForm form, List<Line> lines) implements Event {}
 
   /** A req taken from a client; {@code session} and {@code shared} are 0 where there is none. */
@@ -20,18 +25,18 @@
       double prompt, double sharedPart, double maxAnswer, boolean resumed) implements Event {}
 
   /** The answer has begun; from here on the forward belongs to the client. */
-  record FirstToken(long req, int forward, Duration took, long server) implements Event {}
+  record FirstToken(long req, int forward, Duration took, long server) implements OfReq {}
 
   enum Outcome { DONE, ERROR, FULL, TIMED_OUT, NO_CONNECTION, BROKEN, CANCELLED, NOT_SENT, READ }
 
   /** How a forward ended; {@code note} is kept tokens, or 1 with FULL where there was no state. */
   record Ended(long req, int forward, Outcome outcome, long server, long note, boolean closed,
-      Duration took, double[] report) implements Event {}
+      Duration took, double[] report) implements OfReq {}
 
-  record HungUp(long req) implements Event {}
+  record HungUp(long req) implements OfReq {}
 
   /** The answer to a hold given with a read. */
-  record Held(long req, int forward, long server, boolean held) implements Event {}
+  record Held(long req, int forward, long server, boolean held) implements OfReq {}
 
   record Wake(long token) implements Event {}
 
--- a/src/test/java/gapproxy/RulesTest.java
+++ b/src/test/java/gapproxy/RulesTest.java
@@ -222,6 +222,36 @@
     assertTrue(back, "never tried again");
   }
 
+  @Test
+  void aWriterSetAsideGetsTheWritingOfItsTrickle() {
+    World w = ready();
+    long bad = run(w, w.accept(0, 1, 9, 4000, 3000, BUDGET)).server;
+    int failed = 0;
+    boolean back = false;
+    for (int i = 0; i < 400 && !back; i++) {
+      w.now = w.now.plus(World.ms(50));
+      w.step(new Event.Wake(0));
+      if (w.last.contains(new Action.Probe(bad))) {
+        w.step(new Event.Probed(bad, Outcome.DONE, World.ms(1), new double[0]));
+      }
+      Job j = w.accept(0, 100 + i, 9, 4000, 3000, BUDGET);
+      for (int n = 0; n < j.forwards.size(); n++) {
+        Fwd f = j.forwards.get(n);
+        if (role(w, f) == Role.READ) {
+          w.end(f, Outcome.READ, 3000);
+        } else if (f.server == bad && failed < 3) {
+          failed++;
+          w.end(f, Outcome.BROKEN, 0);
+        } else {
+          back |= failed == 3 && f.server == bad;
+          w.begin(f);
+          w.end(f, Outcome.DONE, 0);
+        }
+      }
+    }
+    assertTrue(back, "after " + failed + " failures no writing was tried again");
+  }
+
   @Test
   void nothingGoesToAServerToldToDrain() {
     World w = ready();
