--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -520,7 +520,7 @@
       }
       double cost = s.load(average) / s.strength()
           + (reading ? ROOM_PER_1000_UNCACHED * (r.in.prompt() - s.believed(r.in)) / 1000
-              + ROOM_PER_READ_OUT * Math.min(READS_PER_READER, readsOut(s)) : 0)
+              + ROOM_PER_READ_OUT * Math.min(20, readsOut(s)) : 0)
           + (s.line.zone() == set.zone() ? 0 : ROOM_OTHER_ZONE) + chance.nextDouble() * ROOM_CHANCE;
       if (cost < least) {
         least = cost;
