Load limits 0.8 to 1.0

Each rule was broken once in the module and the random runs went red: drain, effects, harmless pushback, cold budget, pinned, lost.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -45,8 +45,8 @@
   private static final int BEATS_TO_FORGET_WAITS = 10;
   private static final double LATE_SHARE = 0.35;
   private static final double TIGHT = 0.25;                   // of a writer's memory
-  private static final double LEAST_LOAD = 0.95;
-  private static final double MOST_LOAD = 1.15;
+  private static final double LEAST_LOAD = 0.8;
+  private static final double MOST_LOAD = 1.0;
   private static final double LEAST_WAIT = 0.8;               // parts of the response target
   private static final double MOST_WAIT = 1.5;
   private static final Duration PROBE_EVERY = Duration.ofMillis(500);
