--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -235,7 +235,7 @@
       nextProbe = now.plus(PROBE_EVERY.multipliedBy(chance.nextInt(100)).dividedBy(100));
     }
 
-    Role role() { return set.kinds().get(line.kind()).role(); }
+    Role role() { return kind().role(); }
 
     boolean reader() { return role() != Role.WRITE; }
 
@@ -243,7 +243,9 @@
 
     boolean readsItself() { return role() == Role.BOTH || set.writersRead(); }
 
-    double memory() { return Math.max(1, set.kinds().get(line.kind()).memoryTokens()); }
+    Settings.ServerKind kind() { return set.kinds().get(line.kind()); }
+
+    double memory() { return kind().memoryTokens() > 0 ? kind().memoryTokens() : Double.MAX_VALUE; }
 
     boolean ready() { return listed && line.state() == Event.State.READY; }
 
--- a/src/test/java/gapproxy/RulesTest.java
+++ b/src/test/java/gapproxy/RulesTest.java
@@ -140,13 +140,12 @@
     Job next = w.accept(0, 1, 0, 4100, 0, BUDGET);
     Fwd again = next.forwards.get(0);
     assertEquals(first.server, again.server);
-    w.begin(again);
-    w.end(again, Outcome.DONE, 0);
-    w.now = w.now.plus(World.ms(10));
-    Job third = w.accept(0, 1, 0, 4000, 0, BUDGET);
-    w.begin(third.forwards.get(0));
-    w.end(third.forwards.get(0), Outcome.DONE, 4000);
+    w.end(run(w, next), Outcome.DONE, 4000);
+    Job third = w.accept(0, 1, 0, 4100, 0, BUDGET);
     assertEquals(Role.WRITE, role(w, third.forwards.get(0)));
+    w.accept(0, 2, 0, 4000, 0, BUDGET);
+    w.end(run(w, third), Outcome.DONE, 0);
+    assertEquals(Role.READ, role(w, w.accept(0, 1, 0, 4100, 0, BUDGET).forwards.get(0)));
   }
 
   @Test
