--- a/src/test/java/gapproxy/RulesTest.java
+++ b/src/test/java/gapproxy/RulesTest.java
@@ -141,11 +141,17 @@
     Fwd again = next.forwards.get(0);
     assertEquals(first.server, again.server);
     w.end(run(w, next), Outcome.DONE, 4000);
-    Job third = w.accept(0, 1, 0, 4100, 0, BUDGET);
-    assertEquals(Role.WRITE, role(w, third.forwards.get(0)));
-    w.accept(0, 2, 0, 4000, 0, BUDGET);
-    w.end(run(w, third), Outcome.DONE, 0);
-    assertEquals(Role.READ, role(w, w.accept(0, 1, 0, 4100, 0, BUDGET).forwards.get(0)));
+    long other = 1;
+    Fwd beside;
+    do {
+      beside = run(w, w.accept(0, ++other, 0, 4000, 0, BUDGET));
+      w.end(beside, Outcome.DONE, 0);
+    } while (beside.server != first.server);
+    w.now = w.now.plus(World.ms(10));
+    Job gone = w.accept(0, 1, 0, 4100, 0, BUDGET);
+    assertEquals(Role.WRITE, role(w, gone.forwards.get(0)));
+    w.end(run(w, gone), Outcome.DONE, 0);
+    assertEquals(Role.READ, role(w, w.accept(0, other, 0, 4100, 0, BUDGET).forwards.get(0)));
   }
 
   @Test
