--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -61,12 +61,12 @@
   private final Map<Long, Req> reqs = new HashMap<>();
   private final Deque<Actor> serverMail = new ArrayDeque<>();
   private final Deque<Actor> reqMail = new ArrayDeque<>();
-  private final Map<Role, Pool> pools = new HashMap<>();
+  private final Map<Role, Pool> pools = new EnumMap<>(Role.class);
   private final Tally lateness = new Tally(2);                // begun in time, begun late or failed
   private final double[] allowance;                           // reqs within each customer's share, saved up
   private List<Action> out = new ArrayList<>();
   private Duration now = Duration.ZERO;
-  private Duration nextBeat;
+  private Duration nextBeat = Duration.ZERO;
   private Duration askAgain;
   private double meanPrompt = 2000;
   private int beats;
@@ -74,9 +74,8 @@
   public Rules(Settings settings, long seed) {
     set = settings;
     chance = new SplittableRandom(seed);
-    for (Role role : Role.values()) {
-      pools.put(role, new Pool());
-    }
+    askAgain = settings.listOnRequest() ? Duration.ZERO : null;
+    List.of(Role.values()).forEach(role -> pools.put(role, new Pool()));
     allowance = new double[settings.customers().size()];
   }
 
@@ -84,13 +83,7 @@
   public List<Action> step(Duration time, List<Event> events) {
     now = time;
     out = new ArrayList<>();
-    if (nextBeat == null) {
-      nextBeat = now;
-      askAgain = set.listOnRequest() ? now : null;
-    }
-    for (Event e : events) {
-      deliver(e);
-    }
+    events.forEach(this::deliver);
     if (now.compareTo(nextBeat) >= 0) {
       beat();
     }
@@ -532,13 +525,21 @@
     return best;
   }
 
-  /** The gauge, for each reader of the cell: own reads out, or what is reported to wait if that is more. */
-  private double readsOut(Server companion) {
+  /**
+   * The gauge, for each reader of the cell: own reads out, or what is reported to wait if that is more. A cell
+   * with no reader that can be used borrows the others', so that its writers do not stand idle.
+   */
+  private double readsOut(Server wr) {
+    double near = readsOut(wr, s -> s.line.cell() == wr.line.cell());
+    return near < Double.MAX_VALUE ? near : READS_PER_READER / 2 + readsOut(wr, s -> true);
+  }
+
+  private double readsOut(Server wr, Predicate<Server> where) {
     double own = 0;
     double told = 0;
     int readers = 0;
     for (Server s : servers.values()) {
-      if (s.reader() && s.ready() && !s.aside && s.line.cell() == companion.line.cell() && s != companion) {
+      if (s.reader() && s.ready() && !s.aside && s != wr && where.test(s)) {
         readers++;
         own += s.reads;
         if (s.heard()) {
@@ -710,9 +711,8 @@
       Server rd = null;
       if (remote || !companion.readsItself()) {
         rd = reader(this, s -> s.line.cell() == companion.line.cell());
-        rd = rd != null || companion.readsItself() ? rd
-            : reader(this, s -> s.line.zone() == companion.line.zone());
-        rd = rd != null || companion.readsItself() ? rd : reader(this, s -> true);
+        rd = rd != null ? rd : reader(this, s -> s.line.zone() == companion.line.zone());
+        rd = rd != null ? rd : reader(this, s -> true);
       }
       if (rd == null && !companion.readsItself() || tooLate(rd, companion)) {
         giveUp();
--- a/src/test/java/gapproxy/RulesTest.java
+++ b/src/test/java/gapproxy/RulesTest.java
@@ -257,6 +257,25 @@
     assertTrue(back, "after " + failed + " failures no writing was tried again");
   }
 
+  @Test
+  void aCellWithoutReadersBorrowsThem() {
+    World w = ready();
+    for (Event.Line l : List.copyOf(w.list.values())) {
+      if (w.set.kinds().get(l.kind()).role() == Role.READ && l.cell() == 0) {
+        w.tell(w.line(l.server(), l.kind(), l.cell(), Event.State.GONE, null));
+      }
+    }
+    long written = 0;
+    for (int i = 0; i < 40; i++) {
+      Job j = w.accept(0, 100 + i, 0, 4000, 0, BUDGET);
+      assertEquals(1, w.list.get(j.forwards.get(0).server).cell());
+      Fwd wr = run(w, j);
+      written += w.list.get(wr.server).cell() == 0 ? 1 : 0;
+      w.end(wr, Outcome.DONE, 0);
+    }
+    assertTrue(written > 0, "writers of the cell without readers stand idle");
+  }
+
   @Test
   void nothingGoesToAServerToldToDrain() {
     World w = ready();
