--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -40,7 +40,7 @@
   private static final Duration LONGEST_TRICKLE = Duration.ofSeconds(3);
   private static final int FURTHER = 2;
   private static final double PATIENCE = 8;                   // times what most such forwards take
-  private static final double COLD_PART = 0.5;
+  private static final double COLD_PART = 0.75;
   private static final double FIRST_WAIT = 0.05;              // seconds; each further bin is twice as long
   private static final int BEATS_TO_FORGET_WAITS = 10;
   private static final double LATE_SHARE = 0.35;
@@ -255,7 +255,7 @@
 
     /**
      * Cold budget. Guards against tipping a server that has just started, whoever else sends to it: a gateway
-     * keeps to half of what it sees one like server finish, or one req a span. It also eases in a replaced
+     * keeps to three quarters of what a like server finishes, or one req a span. It also eases in a replaced
      * machine; it could starve a server when starts are frequent.
      */
     boolean coldRoom() {
