--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -526,8 +526,8 @@
   }
 
   /**
-   * The gauge, for each reader of the cell: own reads out, or what is reported to wait if that is more. A cell
-   * with no reader that can be used borrows the others', so that its writers do not stand idle.
+   * The gauge, for each reader of the cell: own reads out, or what is reported to wait if that is more. With
+   * no reader that can be used a cell borrows the others', so that its writers do not stand idle.
    */
   private double readsOut(Server wr) {
     double near = readsOut(wr, s -> s.line.cell() == wr.line.cell());
