Own load: own streams plus an average for each other gateway

Cause: one stream of a gateway counted times the number of gateways, so with 150 of them one long prompt looked like a full writer and reqs were pushed back.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -32,6 +32,7 @@
   private static final double ROOM_CHANCE = 0.15;
   // The mechanisms' figures.
   private static final Duration BEAT = Duration.ofMillis(100);
+  private static final double HELD_STEP = 0.02;               // of the way to the new value, each beat
   private static final int BEATS_TO_HALVE = 40;
   private static final double BAD_SHARE = 0.3;
   private static final double BAD_LEAST = 1.5;
@@ -183,11 +184,13 @@
   private static final class Pool {
     final Tally pace = new Tally(12);
     double worked;                                            // forwards that went well, fading
+    double held, heldEach;                                    // tokens of own streams; at a server, over seconds
     int warm = 1;
 
     void beat(boolean halve, int warmNow) {
       warm = warmNow;
       worked *= 0.95;
+      heldEach += (held / Math.max(1, warm) - heldEach) * HELD_STEP;
       if (halve) {
         pace.halve();
       }
@@ -290,7 +293,8 @@
 
     double reported(int column) { return column >= 0 && column < report.length ? report[column] : 0; }
 
-    double ownLoad() { return held * set.gateways() / memory(); }
+    /** What is held here by own streams and, for each other gateway, what this one holds at a writer on average. */
+    double ownLoad() { return (held + (set.gateways() - 1) * pools.get(role()).heldEach) / memory(); }
 
     /** The share of its memory, or failing that of its slots, that is taken. */
     double taken() {
@@ -367,7 +371,7 @@
         reads++;
       } else {
         open++;
-        held += t.weight;
+        hold(t.weight);
         t.unread = t.toRead;
         unread += t.unread;
         recent.add(new Kept(t.weight, now));
@@ -393,7 +397,7 @@
         reads--;
       } else {
         open--;
-        held = open == 0 ? 0 : held - t.weight;
+        hold(open == 0 ? -held : -t.weight);
       }
       if (how.report().length > 0) {
         take(new Heard(how.report()));
@@ -410,6 +414,11 @@
       }
     }
 
+    private void hold(double tokens) {
+      held += tokens;
+      pools.get(role()).held += tokens;
+    }
+
     private void learn(Try t) {
       Event.Accept a = t.req.in;
       if (a.session() != 0) {
