A cell short of readers lends part of its reads to cells with a surplus

Change: by the list, a cell with less than its part of the fleet's readers keeps as many reads as that part allows (times 1.25) and sends the others to the reader that a weighted hash picks at cells with a surplus, other zones last. Guards also against a cell that lost readers. Could harm where the link of the lending cell is the bottleneck.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.util.*;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 
 /**
@@ -30,6 +31,8 @@
   private static final double ROOM_OTHER_ZONE = 0.40;
   private static final double ROOM_PER_READ_OUT = 0.15;       // for each read out per reader of its cell
   private static final double ROOM_CHANCE = 0.15;
+  private static final double STAY = 1.25;                    // times a cell's part of the readers it would need
+  private static final double LENT_FAR = 0.2;                 // weight of another zone's lenders
   // The mechanisms' figures.
   private static final Duration BEAT = Duration.ofMillis(100);
   private static final double HELD_STEP = 0.02;               // of the way to the new value, each beat
@@ -63,6 +66,7 @@
   private final Deque<Actor> serverMail = new ArrayDeque<>();
   private final Deque<Actor> reqMail = new ArrayDeque<>();
   private final Map<Role, Pool> pools = new EnumMap<>(Role.class);
+  private final Map<Integer, Cell> cells = new TreeMap<>();
   private final Tally lateness = new Tally(2);                // begun in time, begun late or failed
   private final double[] allowance;                           // reqs within each customer's share, saved up
   private List<Action> out = new ArrayList<>();
@@ -176,6 +180,7 @@
     pools.forEach((role, p) -> p.beat(beats % BEATS_TO_HALVE == 0,
         (int) servers.values().stream().filter(s -> s.role() == role && s.ready() && !s.cold()).count()));
     servers.values().forEach(s -> post(s, new Beat(beats % BEATS_TO_HALVE == 0)));
+    countCells();
   }
 
   // ---- what is measured
@@ -203,6 +208,27 @@
     double rate() { return worked / (seconds(BEAT) / 0.05) / Math.max(1, warm); }
   }
 
+  /** What a cell has of both roles, by the list. */
+  private static final class Cell {
+    double readers, writers;
+  }
+
+  private void countCells() {
+    cells.clear();
+    for (Server s : servers.values()) {
+      Cell c = cells.computeIfAbsent(s.line.cell(), id -> new Cell());
+      double size = s.ready() && !s.aside ? s.line.size() * s.strength() : 0;
+      c.readers += s.reader() ? size : 0;
+      c.writers += s.writer() ? size : 0;
+    }
+  }
+
+  /** Readers that all the fleet has for each writer. */
+  private double readersAWriter() {
+    double writers = cells.values().stream().mapToDouble(c -> c.writers).sum();
+    return cells.values().stream().mapToDouble(c -> c.readers).sum() / Math.max(1e-9, writers);
+  }
+
   private record Kept(double tokens, Duration at) {}
 
   /** One model server as this gateway sees it. */
@@ -560,13 +586,28 @@
     return readers == 0 ? Double.MAX_VALUE : Math.max(own, told) / readers;
   }
 
+  /** Whether a cell has readers enough for this req; else it is read at a cell that has more than it needs. */
+  private boolean readNear(Server wr) {
+    Cell c = cells.get(wr.line.cell());
+    return c == null || chance.nextDouble() * c.writers * readersAWriter() < STAY * c.readers;
+  }
+
+  /** How much of the lent reads a reader takes: what its cell has beyond its own need. */
+  private double lends(Server s) {
+    Cell c = cells.get(s.line.cell());
+    double over = c == null || c.readers <= 0 ? 0 : 1 - c.writers * readersAWriter() / c.readers;
+    return Math.max(0, over) * (s.line.zone() == set.zone() ? 1 : LENT_FAR);
+  }
+
   /** The reader that the hash of the shared beginning picks, unless it is too busy beside the others. */
-  private Server reader(Req r, Predicate<Server> where) {
+  private Server reader(Req r, ToDoubleFunction<Server> weight) {
     long key = r.in.shared() != 0 ? r.in.shared() : r.in.session();
     Server picked = null;
+    double best = 0;
     Server least = null;
     for (Server s : servers.values()) {
-      if (!s.reader() || s == r.companion || !where.test(s) || !open(r, s)) {
+      double w = !s.reader() || s == r.companion ? 0 : weight.applyAsDouble(s);
+      if (w <= 0 || !open(r, s)) {
         continue;
       }
       if (s.aside && r.further == 0) {
@@ -574,8 +615,10 @@
       } else if (s.aside) {
         continue;
       }
-      if (picked == null || mixed(key ^ s.id) > mixed(key ^ picked.id)) {
+      double score = Math.log((mixed(key ^ s.id) + 1.0) / Long.MAX_VALUE) / w;
+      if (picked == null || score > best) {
         picked = s;
+        best = score;
       }
       if (least == null || busy(s) < busy(least)) {
         least = s;
@@ -719,9 +762,10 @@
           && (readsOut(companion) < READS_PER_READER || companion.taken() > TIGHT);
       Server rd = null;
       if (remote || !companion.readsItself()) {
-        rd = reader(this, s -> s.line.cell() == companion.line.cell());
-        rd = rd != null ? rd : reader(this, s -> s.line.zone() == companion.line.zone());
-        rd = rd != null ? rd : reader(this, s -> true);
+        rd = readNear(companion) ? null : reader(this, Rules.this::lends);
+        rd = rd != null ? rd : reader(this, s -> s.line.cell() == companion.line.cell() ? 1 : 0);
+        rd = rd != null ? rd : reader(this, s -> s.line.zone() == companion.line.zone() ? 1 : 0);
+        rd = rd != null ? rd : reader(this, s -> 1);
       }
       if (rd == null && !companion.readsItself() || tooLate(rd, companion)) {
         giveUp();
