Reports are asked for when a req needs them, of two writers near and a reader for each

Change: a req that is taken asks two random writers of the zone and the reader that goes with each, where none was heard for 250 ms, and waits up to 30 ms. Unheard servers still count as average; the gauge takes the mean of those heard.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -53,7 +53,9 @@
   private static final double MOST_LOAD = 1.0;
   private static final double LEAST_WAIT = 0.8;               // parts of the response target
   private static final double MOST_WAIT = 1.5;
-  private static final Duration PROBE_EVERY = Duration.ofMillis(500);
+  private static final int ASKED = 2;                         // writers, and a reader for each
+  private static final Duration ASK_WAIT = Duration.ofMillis(30);
+  private static final Duration ASK_AGAIN = Duration.ofMillis(250);
   private static final Duration REPORT_LAG = Duration.ofMillis(400);
   private static final Duration REPORT_OLD = Duration.ofSeconds(3);
   private static final Set<Outcome> NEVER_RAN =
@@ -63,6 +65,7 @@
   private final RandomGenerator chance;
   private final Map<Long, Server> servers = new TreeMap<>();
   private final Map<Long, Req> reqs = new HashMap<>();
+  private final List<Req> asking = new ArrayList<>();         // reqs that wait for reports
   private final Deque<Actor> serverMail = new ArrayDeque<>();
   private final Deque<Actor> reqMail = new ArrayDeque<>();
   private final Map<Role, Pool> pools = new EnumMap<>(Role.class);
@@ -89,6 +92,13 @@
     now = time;
     out = new ArrayList<>();
     events.forEach(this::deliver);
+    asking.removeIf(r -> {
+      boolean over = now.compareTo(r.planAt) >= 0;
+      if (over) {
+        post(r, new Waited());
+      }
+      return over;
+    });
     if (now.compareTo(nextBeat) >= 0) {
       beat();
     }
@@ -123,6 +133,12 @@
 
   private record Shown(Outcome outcome) {}
 
+  private record Asked(Req by) {}
+
+  private record Answered(Server by) {}
+
+  private record Waited() {}
+
   private record Claimed(Req by) {}
 
   private record Removed() {}
@@ -245,7 +261,9 @@
     int reads, open;
     double held, unread;                                      // own forwards' tokens; those to be read here
     double[] report;
-    Duration heardAt, fullAt, nextProbe;
+    Duration heardAt, fullAt, askedAt;
+    final List<Req> askers = new ArrayList<>();
+    Duration nextProbe = Duration.ZERO;
     boolean aside, probed;
     Req trickleFor;                                           // its writing comes after a read elsewhere
     Duration gap = FIRST_TRICKLE;
@@ -254,7 +272,6 @@
     Server(long id, Event.Line line) {
       this.id = id;
       this.line = line;
-      nextProbe = now.plus(PROBE_EVERY.multipliedBy(chance.nextInt(100)).dividedBy(100));
     }
 
     Role role() { return kind().role(); }
@@ -315,7 +332,9 @@
       return Math.max(0.01, seconds(took) - (t.read ? pools.get(role()).usual(t.toRead) : 0));
     }
 
-    boolean heard() { return report != null && now.minus(heardAt).compareTo(REPORT_OLD) < 0; }
+    boolean heard() { return heard(REPORT_OLD); }
+
+    boolean heard(Duration within) { return report != null && now.minus(heardAt).compareTo(within) < 0; }
 
     double reported(int column) { return column >= 0 && column < report.length ? report[column] : 0; }
 
@@ -383,7 +402,16 @@
         heardAt = now;
         Duration from = now.minus(REPORT_LAG);
         recent.removeIf(k -> k.at.compareTo(from) < 0);
+      } else if (note instanceof Asked a) {
+        if (askedAt == null || now.minus(askedAt).compareTo(ASK_AGAIN) >= 0) {
+          out.add(new Action.Probe(id));
+          askedAt = now;
+          askers.clear();
+        }
+        askers.add(a.by);
       } else if (note instanceof Shown s) {
+        askers.forEach(r -> post(r, new Answered(this)));
+        askers.clear();
         probed = s.outcome == Outcome.DONE;
         nextProbe = aside && !probed ? now.plus(gap) : nextProbe;
       } else if (note instanceof Beat b) {
@@ -512,10 +540,9 @@
 
     /** Probing: asks for reports that come no other way, and whether a server set aside answers again. */
     private void beat(boolean halve) {
-      boolean wanted = aside ? !probed : set.reports().source() == Source.BY_PROBE;
-      if (set.limits().probes() && ready() && wanted && now.compareTo(nextProbe) >= 0) {
+      if (set.limits().probes() && ready() && aside && !probed && now.compareTo(nextProbe) >= 0) {
         out.add(new Action.Probe(id));
-        nextProbe = now.plus(PROBE_EVERY);
+        nextProbe = now.plus(gap);
       }
       if (beats % BEATS_TO_FORGET_WAITS == 0) {
         waits.halve();
@@ -573,17 +600,19 @@
     double own = 0;
     double told = 0;
     int readers = 0;
+    int heard = 0;
     for (Server s : servers.values()) {
       if (s.reader() && s.ready() && !s.aside && s != wr && where.test(s)) {
         readers++;
         own += s.reads;
         if (s.heard()) {
+          heard++;
           int tokens = set.reports().waitingKTokens();
           told += tokens >= 0 ? s.reported(tokens) * 1000 / meanPrompt : s.reported(set.reports().waiting());
         }
       }
     }
-    return readers == 0 ? Double.MAX_VALUE : Math.max(own, told) / readers;
+    return readers == 0 ? Double.MAX_VALUE : Math.max(own / readers, told / Math.max(1, heard));
   }
 
   /** Whether a cell has readers enough for this req; else it is read at a cell that has more than it needs. */
@@ -707,6 +736,8 @@
     final EndpointGroup group;
     final Duration taken = now;
     final List<Try> tries = new ArrayList<>();
+    final Set<Server> asked = new HashSet<>();
+    Duration planAt;                                          // when it stops to wait for reports
     int further, running;
     boolean closed, begun, holding;
     Server companion, stateAt;
@@ -728,7 +759,13 @@
       if (note instanceof Event.Accept) {
         meanPrompt += (in.prompt() - meanPrompt) / 50;
         rank = rank();
-        plan();
+        ask();
+      } else if (note instanceof Answered a && asked.remove(a.by) && asked.isEmpty() || note instanceof Waited) {
+        if (planAt != null && !closed) {
+          planAt = null;
+          asking.remove(this);
+          plan();
+        }
       } else if (note instanceof Event.FirstToken f && f.forward() < tries.size()) {
         begun = true;
         stateAt = null;
@@ -746,6 +783,36 @@
       }
     }
 
+    /**
+     * Probing: reports that come no other way are asked for when a req needs them, of a few writers near and
+     * a reader for each, so that the price follows the traffic and no two gateways see the same picture.
+     */
+    private void ask() {
+      List<Server> near = new ArrayList<>();
+      if (set.limits().probes() && set.reports().source() == Source.BY_PROBE) {
+        servers.values().stream().filter(s -> s.writer() && !s.aside && open(this, s)).forEach(near::add);
+        if (near.stream().anyMatch(s -> s.line.zone() == set.zone())) {
+          near.removeIf(s -> s.line.zone() != set.zone());
+        }
+      }
+      for (int i = 0; i < ASKED && !near.isEmpty(); i++) {
+        Server w = near.remove(chance.nextInt(near.size()));
+        Server rd = reader(this, s -> s.line.cell() == w.line.cell() ? 1 : 0);
+        for (Server s : rd == null ? List.of(w) : List.of(w, rd)) {
+          if (!s.heard(ASK_AGAIN) && asked.add(s)) {
+            post(s, new Asked(this));
+          }
+        }
+      }
+      if (asked.isEmpty()) {
+        plan();
+      } else {
+        planAt = now.plus(least(ASK_WAIT, left().dividedBy(4)));
+        asking.add(this);
+        out.add(new Action.Alarm(planAt, 0));
+      }
+    }
+
     /** The design's path: a companion writer, then the length test and the gauge, then the cell's reader. */
     void plan() {
       stateAt = null;
