--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -49,11 +49,12 @@
   private static final int BEATS_TO_FORGET_WAITS = 10;
   private static final double LATE_SHARE = 0.35;
   private static final double TIGHT = 0.25;                   // of a writer's memory
-  private static final double LEAST_LOAD = 0.8;
-  private static final double MOST_LOAD = 1.0;
+  private static final double LEAST_LOAD = 1.0;
+  private static final double MOST_LOAD = 1.3;
   private static final double LEAST_WAIT = 0.8;               // parts of the response target
   private static final double MOST_WAIT = 1.5;
   private static final int ASKED = 2;                         // writers, and a reader for each
+  private static final double ASK_FAR = 0.2;                  // how often writers of all zones are asked
   private static final Duration ASK_WAIT = Duration.ofMillis(30);
   private static final Duration ASK_AGAIN = Duration.ofMillis(250);
   private static final Duration REPORT_LAG = Duration.ofMillis(400);
@@ -791,7 +792,8 @@
       List<Server> near = new ArrayList<>();
       if (set.limits().probes() && set.reports().source() == Source.BY_PROBE) {
         servers.values().stream().filter(s -> s.writer() && !s.aside && open(this, s)).forEach(near::add);
-        if (near.stream().anyMatch(s -> s.line.zone() == set.zone())) {
+        long home = near.stream().filter(s -> s.line.zone() == set.zone()).count();
+        if (home > ASKED && chance.nextDouble() > ASK_FAR) {
           near.removeIf(s -> s.line.zone() != set.zone());
         }
       }
