A session's home cell, picked by a hash that all gateways share, counts as roomier

Change: the writers of the cell of this zone that a hash of the session picks count 0.3 roomier; which reads are lent goes by the session too. Harm: a cell that many sessions fall on is left only once it is 0.3 fuller.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -31,6 +31,7 @@
   private static final double ROOM_OTHER_ZONE = 0.40;
   private static final double ROOM_PER_READ_OUT = 0.15;       // for each read out per reader of its cell
   private static final double ROOM_CHANCE = 0.15;
+  private static final double ROOM_HOME = 0.30;
   private static final double STAY = 1.25;                    // times a cell's part of the readers it would need
   private static final double LENT_FAR = 0.2;                 // weight of another zone's lenders
   // The mechanisms' figures.
@@ -227,6 +228,7 @@
 
   /** What a cell has of both roles, by the list. */
   private static final class Cell {
+    int zone;
     double readers, writers;
   }
 
@@ -234,6 +236,7 @@
     cells.clear();
     for (Server s : servers.values()) {
       Cell c = cells.computeIfAbsent(s.line.cell(), id -> new Cell());
+      c.zone = s.line.zone();
       double size = s.ready() && !s.aside ? s.line.size() * s.strength() : 0;
       c.readers += s.reader() ? size : 0;
       c.writers += s.writer() ? size : 0;
@@ -565,6 +568,7 @@
   /** The writer with most room for this req: the design's companion, and the choice at the second stage. */
   private Server writer(Req r, boolean reading, Predicate<Server> where) {
     double average = averageLoad();
+    Integer home = home(r);
     Server best = null;
     double least = Double.MAX_VALUE;
     for (Server s : servers.values()) {
@@ -579,7 +583,8 @@
       double cost = s.load(average) / s.strength()
           + (reading ? ROOM_PER_1000_UNCACHED * (r.in.prompt() - s.believed(r.in)) / 1000
               + ROOM_PER_READ_OUT * Math.min(20, readsOut(s)) : 0)
-          + (s.line.zone() == set.zone() ? 0 : ROOM_OTHER_ZONE) + chance.nextDouble() * ROOM_CHANCE;
+          + (s.line.zone() == set.zone() ? 0 : ROOM_OTHER_ZONE)
+          + (reading && home != null && s.line.cell() != home ? ROOM_HOME : 0) + chance.nextDouble() * ROOM_CHANCE;
       if (cost < least) {
         least = cost;
         best = s;
@@ -616,10 +621,30 @@
     return readers == 0 ? Double.MAX_VALUE : Math.max(own / readers, told / Math.max(1, heard));
   }
 
+  /**
+   * The home of a req's session: the cell of this zone that a hash picks which all gateways share. Where a gateway
+   * sees few reqs of a session it can't learn where its text is kept; at home its earlier turns have been read.
+   */
+  private Integer home(Req r) {
+    Integer home = null;
+    double best = 0;
+    for (Map.Entry<Integer, Cell> e : cells.entrySet()) {
+      double score = Math.log(part(r.in.session(), e.getKey())) / e.getValue().writers;
+      if (e.getValue().zone == set.zone() && e.getValue().writers > 0 && (home == null || score > best)) {
+        home = e.getKey();
+        best = score;
+      }
+    }
+    return r.in.session() == 0 ? null : home;
+  }
+
+  /** A number between 0 and 1 that is the same at every gateway. */
+  private static double part(long key, long id) { return (mixed(key ^ id) + 1.0) / Long.MAX_VALUE; }
+
   /** Whether a cell has readers enough for this req; else it is read at a cell that has more than it needs. */
-  private boolean readNear(Server wr) {
+  private boolean readNear(Req r, Server wr) {
     Cell c = cells.get(wr.line.cell());
-    return c == null || chance.nextDouble() * c.writers * readersAWriter() < STAY * c.readers;
+    return c == null || part(r.in.session() + 1, 0) * c.writers * readersAWriter() < STAY * c.readers;
   }
 
   /** How much of the lent reads a reader takes: what its cell has beyond its own need. */
@@ -645,7 +670,7 @@
       } else if (s.aside) {
         continue;
       }
-      double score = Math.log((mixed(key ^ s.id) + 1.0) / Long.MAX_VALUE) / w;
+      double score = Math.log(part(key, s.id)) / w;
       if (picked == null || score > best) {
         picked = s;
         best = score;
@@ -831,7 +856,7 @@
           && (readsOut(companion) < READS_PER_READER || companion.taken() > TIGHT);
       Server rd = null;
       if (remote || !companion.readsItself()) {
-        rd = readNear(companion) ? null : reader(this, Rules.this::lends);
+        rd = readNear(this, companion) ? null : reader(this, Rules.this::lends);
         rd = rd != null ? rd : reader(this, s -> s.line.cell() == companion.line.cell() ? 1 : 0);
         rd = rd != null ? rd : reader(this, s -> s.line.zone() == companion.line.zone() ? 1 : 0);
         rd = rd != null ? rd : reader(this, s -> 1);
