--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -48,9 +48,7 @@
   private static final double COLD_PART = 0.75;
   private static final double FIRST_WAIT = 0.05;              // seconds; each further bin is twice as long
   private static final int BEATS_TO_FORGET_WAITS = 10;
-  private static final int WAITS_KEPT = 12;
   private static final double LATE_SHARE = 0.35;
-  private static final int LATENESS_KEPT = 16;
   private static final double TIGHT = 0.25;                   // of a writer's memory
   private static final double LEAST_LOAD = 1.0;
   private static final double MOST_LOAD = 1.3;
@@ -194,6 +192,9 @@
       double rate = set.customers().get(i).reqsPerSecond() / set.gateways();
       allowance[i] = Math.max(0, Math.min(allowance[i] + rate * seconds(BEAT), Math.max(1, 2 * rate)));
     }
+    if (beats % (BEATS_TO_HALVE / 2) == 0) {
+      lateness.halve();
+    }
     pools.forEach((role, p) -> p.beat(beats % BEATS_TO_HALVE == 0,
         (int) servers.values().stream().filter(s -> s.role() == role && s.ready() && !s.cold()).count()));
     servers.values().forEach(s -> post(s, new Beat(beats % BEATS_TO_HALVE == 0)));
@@ -205,8 +206,6 @@
   /** What the servers of one role do together. */
   private static final class Pool {
     final Tally pace = new Tally(12);
-    final Tally waits = new Tally(8);
-    final Set<Try> unbegun = new LinkedHashSet<>();
     double worked;                                            // forwards that went well, fading
     double held, heldEach;                                    // tokens of own streams; at a server, over seconds
     int warm = 1;
@@ -223,17 +222,6 @@
     /** Seconds that reading so much takes when nothing waits. */
     double usual(double toRead) { return Math.pow(2, pace.quantile(0.25)) / 1e6 * (500 + toRead); }
 
-    /** How long forwards wait: what was seen lately, and what already waits longer. */
-    double wait(Duration now) {
-      double seen = typical(waits);
-      Tally all = waits.copy();
-      for (Try t : unbegun) {
-        double so = seconds(now.minus(t.sentAt)) - (t.read ? usual(t.toRead) : 0);
-        all.add(bin(so), so > seen ? 1 : 0);
-      }
-      return typical(all);
-    }
-
     /** Forwards a second that went well at one warm server; the fading sum spans two seconds. */
     double rate() { return worked / (seconds(BEAT) / 0.05) / Math.max(1, warm); }
   }
@@ -261,11 +249,6 @@
     return cells.values().stream().mapToDouble(c -> c.readers).sum() / Math.max(1e-9, writers);
   }
 
-  /** Waits are counted in bins, each twice as long as the one before. */
-  private static int bin(double wait) { return (int) Math.ceil(Math.log(Math.max(0.01, wait) / FIRST_WAIT) / Math.log(2)); }
-
-  private static double typical(Tally waits) { return waits.sum() < 0.5 ? 0 : FIRST_WAIT * (1 << waits.quantile(0.5)); }
-
   private record Kept(double tokens, Duration at) {}
 
   /** One model server as this gateway sees it. */
@@ -343,20 +326,14 @@
      * silent, whatever the cause and without any report: what waits longest counts before its outcome is in.
      */
     double delay() {
-      Pool p = pools.get(role());
-      double seen = waits.sum() >= 0.5 ? typical(waits) : heard() && role() == Role.READ ? 0 : p.wait(now);
-      Settings.Reports told = set.reports();
-      if (heard() && role() == Role.READ) {
-        seen = Math.max(seen, p.usual(told.waitingKTokens() >= 0 ? 1000 * reported(told.waitingKTokens())
-            : meanPrompt * reported(told.waiting())) - p.usual(0));
-      }
+      double seen = waits.sum() < 0.5 ? 0 : FIRST_WAIT * (1 << waits.quantile(0.5));
       Try first = unbegun.isEmpty() ? null : unbegun.iterator().next();
       return first == null ? seen : Math.max(seen, excess(first, now.minus(first.sentAt)));
     }
 
     /** What a forward took beyond the reading that it asked for. */
     private double excess(Try t, Duration took) {
-      return seconds(took) - (t.read ? pools.get(role()).usual(t.toRead) : 0);
+      return Math.max(0.01, seconds(took) - (t.read ? pools.get(role()).usual(t.toRead) : 0));
     }
 
     boolean heard() { return heard(REPORT_OLD); }
@@ -448,7 +425,6 @@
 
     private void sent(Try t) {
       unbegun.add(t);
-      pools.get(role()).unbegun.add(t);
       if (t.read) {
         reads++;
       } else {
@@ -469,7 +445,6 @@
 
     private void begun(Try t) {
       unbegun.remove(t);
-      pools.get(role()).unbegun.remove(t);
       unread -= t.local ? t.unread : 0;
       t.unread = 0;
     }
@@ -492,7 +467,7 @@
         }
         case DONE -> trust(t, how.note());
         case FULL -> fullAt = how.note() == 1 ? fullAt : now;
-        case NO_CONNECTION, BROKEN, ERROR, TIMED_OUT -> judge(false, t, now.minus(t.sentAt));
+        case NO_CONNECTION, BROKEN, ERROR, TIMED_OUT -> judge(false, t, null);
         default -> { }
       }
     }
@@ -532,15 +507,10 @@
      */
     private void judge(boolean well, Try t, Duration took) {
       went.add(well ? 0 : 1, 1);
-      Pool p = pools.get(role());
-      waits.add(bin(excess(t, took)), 1);
-      p.waits.add(bin(excess(t, took)), well || !t.read ? 1 : 2);
-      if (p.waits.sum() > WAITS_KEPT) {
-        p.waits.halve();
-      }
       if (well) {
         pools.get(role()).worked += cold() ? 0 : 1;
         int bin = (int) Math.floor(Math.log(seconds(took) * 1e6 / (500 + t.toRead)) / Math.log(2));
+        waits.add((int) Math.ceil(Math.log(excess(t, took) / FIRST_WAIT) / Math.log(2)), 1);
         pools.get(role()).pace.add(bin, 1);
         if (aside) {
           gap = gap.dividedBy(2);
@@ -633,15 +603,22 @@
   }
 
   private double readsOut(Server wr, Predicate<Server> where) {
-    double all = 0;
+    double own = 0;
+    double told = 0;
     int readers = 0;
+    int heard = 0;
     for (Server s : servers.values()) {
       if (s.reader() && s.ready() && !s.aside && s != wr && where.test(s)) {
         readers++;
-        all += busy(s);
+        own += s.reads;
+        if (s.heard()) {
+          heard++;
+          int tokens = set.reports().waitingKTokens();
+          told += tokens >= 0 ? s.reported(tokens) * 1000 / meanPrompt : s.reported(set.reports().waiting());
+        }
       }
     }
-    return readers == 0 ? Double.MAX_VALUE : all / readers;
+    return readers == 0 ? Double.MAX_VALUE : Math.max(own / readers, told / Math.max(1, heard));
   }
 
   /**
@@ -683,7 +660,6 @@
     Server picked = null;
     double best = 0;
     Server least = null;
-    double leastBusy = 0;
     for (Server s : servers.values()) {
       double w = !s.reader() || s == r.companion ? 0 : weight.applyAsDouble(s);
       if (w <= 0 || !open(r, s)) {
@@ -699,20 +675,14 @@
         picked = s;
         best = score;
       }
-      double busy = busy(s) - score / 1e6;                    // the hash settles ties
-      if (least == null || busy < leastBusy) {
+      if (least == null || busy(s) < busy(least)) {
         least = s;
-        leastBusy = busy;
       }
     }
-    return picked != null && busy(picked) > LEAVE_READER_OVER * Math.max(1, leastBusy) ? least : picked;
+    return picked != null && busy(picked) > LEAVE_READER_OVER * Math.max(1, busy(least)) ? least : picked;
   }
 
-  /** Reads out at a reader, as we count them: own ones, or as many as fit into what a read waits there. */
-  private double busy(Server s) {
-    double usual = Math.max(0.01, pools.get(s.role()).usual(meanPrompt));
-    return Math.max(s.reads, s.delay() / usual) / s.strength();
-  }
+  private double busy(Server s) { return s.reads / s.strength(); }
 
   private static long mixed(long z) {
     z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
@@ -826,7 +796,7 @@
         begun = true;
         stateAt = null;
         Try t = tries.get(f.forward());
-        begunLate(1, now.minus(taken).compareTo(target()) <= 0 ? 0 : 1);
+        lateness.add(now.minus(taken).compareTo(target()) <= 0 ? 0 : 1, 1);
         post(t.at, new Begun(t, f.took()));
       } else if (note instanceof Event.Ended e && e.forward() < tries.size()) {
         ended(tries.get(e.forward()), e);
@@ -952,7 +922,7 @@
         write();
         return;
       }
-      begunLate(e.outcome() == Outcome.CANCELLED ? 0 : 1, 1);
+      lateness.add(1, e.outcome() == Outcome.CANCELLED ? 0 : 1);
       if (further >= FURTHER || overloaded() || begun) {
         giveUp();
         return;
@@ -966,14 +936,6 @@
       }
     }
 
-    /** Counted, not timed, so that it says as much at a gateway with one req a second as at one with ten. */
-    private void begunLate(double weight, int late) {
-      lateness.add(late, weight);
-      if (lateness.sum() > LATENESS_KEPT) {
-        lateness.halve();
-      }
-    }
-
     private boolean overloaded() { return lateness.sum() > 6 && lateness.share(1) > LATE_SHARE; }
 
     /** What the req earns beside the best, less beyond its customer's share. */
