--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -660,7 +660,6 @@
     Server picked = null;
     double best = 0;
     Server least = null;
-    double leastBusy = 0;
     for (Server s : servers.values()) {
       double w = !s.reader() || s == r.companion ? 0 : weight.applyAsDouble(s);
       if (w <= 0 || !open(r, s)) {
@@ -676,21 +675,14 @@
         picked = s;
         best = score;
       }
-      double busy = busy(s) - score / 1e6;                    // the hash settles ties
-      if (least == null || busy < leastBusy) {
+      if (least == null || busy(s) < busy(least)) {
         least = s;
-        leastBusy = busy;
       }
     }
-    return picked != null && busy(picked) > LEAVE_READER_OVER * Math.max(1, leastBusy) ? least : picked;
+    return picked != null && busy(picked) > LEAVE_READER_OVER * Math.max(1, busy(least)) ? least : picked;
   }
 
-  /** Reads out at a reader, as we count them: own ones, or what it reported to wait if that is more. */
-  private double busy(Server s) {
-    int tokens = set.reports().waitingKTokens();
-    double told = !s.heard() ? 0 : tokens >= 0 ? s.reported(tokens) * 1000 / meanPrompt : s.reported(set.reports().waiting());
-    return Math.max(s.reads, told) / s.strength();
-  }
+  private double busy(Server s) { return s.reads / s.strength(); }
 
   private static long mixed(long z) {
     z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
