--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -32,7 +32,7 @@
   private static final double ROOM_PER_READ_OUT = 0.15;       // for each read out per reader of its cell
   private static final double ROOM_CHANCE = 0.15;
   private static final double ROOM_HOME = 0.30;
-  private static final double STAY = 1.25;                    // times a cell's part of the readers it would need
+  private static final double STAY = 0.75;                    // times a cell's part of the readers it would need
   private static final double LENT_FAR = 0.2;                 // weight of another zone's lenders
   // The mechanisms' figures.
   private static final Duration BEAT = Duration.ofMillis(100);
