Zones short of writers, or whose writers make reqs wait, have sessions at home elsewhere

Change: a part of the sessions, by the same hash at every gateway, is at home in another zone: what the zone lacks of its part of the writers, or a part that grows with the waits seen here.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -33,6 +33,10 @@
   private static final double ROOM_CHANCE = 0.15;
   private static final double ROOM_HOME = 0.30;
   private static final double STAY = 0.75;                    // times a cell's part of the readers it would need
+  private static final double ABROAD_UNDER = 1.1;             // times a zone's part of the writers
+  private static final double FREE_WAIT = 0.2;                // seconds
+  private static final double ABROAD_WAIT = 4;                // seconds at which all would leave
+  private static final int WAITS_KEPT = 12;
   private static final double LENT_FAR = 0.2;                 // weight of another zone's lenders
   // The mechanisms' figures.
   private static final Duration BEAT = Duration.ofMillis(100);
@@ -72,6 +76,7 @@
   private final Deque<Actor> reqMail = new ArrayDeque<>();
   private final Map<Role, Pool> pools = new EnumMap<>(Role.class);
   private final Map<Integer, Cell> cells = new TreeMap<>();
+  private final Tally hereWaits = new Tally(8);               // at the writers of this zone
   private final Tally lateness = new Tally(2);                // begun in time, begun late or failed
   private final double[] allowance;                           // reqs within each customer's share, saved up
   private List<Action> out = new ArrayList<>();
@@ -326,7 +331,7 @@
      * silent, whatever the cause and without any report: what waits longest counts before its outcome is in.
      */
     double delay() {
-      double seen = waits.sum() < 0.5 ? 0 : FIRST_WAIT * (1 << waits.quantile(0.5));
+      double seen = typical(waits);
       Try first = unbegun.isEmpty() ? null : unbegun.iterator().next();
       return first == null ? seen : Math.max(seen, excess(first, now.minus(first.sentAt)));
     }
@@ -467,7 +472,7 @@
         }
         case DONE -> trust(t, how.note());
         case FULL -> fullAt = how.note() == 1 ? fullAt : now;
-        case NO_CONNECTION, BROKEN, ERROR, TIMED_OUT -> judge(false, t, null);
+        case NO_CONNECTION, BROKEN, ERROR, TIMED_OUT -> judge(false, t, now.minus(t.sentAt));
         default -> { }
       }
     }
@@ -507,6 +512,12 @@
      */
     private void judge(boolean well, Try t, Duration took) {
       went.add(well ? 0 : 1, 1);
+      if (writer() && line.zone() == set.zone()) {
+        hereWaits.add((int) Math.ceil(Math.log(excess(t, took) / FIRST_WAIT) / Math.log(2)), 1);
+        if (hereWaits.sum() > WAITS_KEPT) {
+          hereWaits.halve();
+        }
+      }
       if (well) {
         pools.get(role()).worked += cold() ? 0 : 1;
         int bin = (int) Math.floor(Math.log(seconds(took) * 1e6 / (500 + t.toRead)) / Math.log(2));
@@ -569,6 +580,7 @@
   private Server writer(Req r, boolean reading, Predicate<Server> where) {
     double average = averageLoad();
     Integer home = home(r);
+    int zone = home == null ? set.zone() : cells.get(home).zone;
     Server best = null;
     double least = Double.MAX_VALUE;
     for (Server s : servers.values()) {
@@ -583,7 +595,7 @@
       double cost = s.load(average) / s.strength()
           + (reading ? ROOM_PER_1000_UNCACHED * (r.in.prompt() - s.believed(r.in)) / 1000
               + ROOM_PER_READ_OUT * Math.min(20, readsOut(s)) : 0)
-          + (s.line.zone() == set.zone() ? 0 : ROOM_OTHER_ZONE)
+          + (s.line.zone() == zone ? 0 : ROOM_OTHER_ZONE)
           + (reading && home != null && s.line.cell() != home ? ROOM_HOME : 0) + chance.nextDouble() * ROOM_CHANCE;
       if (cost < least) {
         least = cost;
@@ -628,9 +640,10 @@
   private Integer home(Req r) {
     Integer home = null;
     double best = 0;
+    boolean abroad = abroad(r);
     for (Map.Entry<Integer, Cell> e : cells.entrySet()) {
       double score = Math.log(part(r.in.session(), e.getKey())) / e.getValue().writers;
-      if (e.getValue().zone == set.zone() && e.getValue().writers > 0 && (home == null || score > best)) {
+      if (e.getValue().zone == set.zone() != abroad && e.getValue().writers > 0 && (home == null || score > best)) {
         home = e.getKey();
         best = score;
       }
@@ -638,6 +651,21 @@
     return r.in.session() == 0 ? null : home;
   }
 
+  /**
+   * Zones. A zone with less than its part of the writers, or whose writers were seen to make reqs wait, has some
+   * sessions at home in another zone: a part that grows with the wait, so that gateways do not leave together.
+   */
+  private boolean abroad(Req r) {
+    double all = cells.values().stream().mapToDouble(c -> c.writers).sum();
+    double here = cells.values().stream().filter(c -> c.zone == set.zone()).mapToDouble(c -> c.writers).sum();
+    long zones = cells.values().stream().map(c -> c.zone).distinct().count();
+    double part = Math.max(1 - ABROAD_UNDER * here * zones / all,
+        Math.min(0.5, (typical(hereWaits) - FREE_WAIT) / ABROAD_WAIT));
+    return here < all && part(r.in.session() + 3, 0) < part;
+  }
+
+  private static double typical(Tally waits) { return waits.sum() < 0.5 ? 0 : FIRST_WAIT * (1 << waits.quantile(0.5)); }
+
   /** A number between 0 and 1 that is the same at every gateway. */
   private static double part(long key, long id) { return (mixed(key ^ id) + 1.0) / Long.MAX_VALUE; }
 
@@ -648,10 +676,10 @@
   }
 
   /** How much of the lent reads a reader takes: what its cell has beyond its own need. */
-  private double lends(Server s) {
+  private double lends(Server s, int zone) {
     Cell c = cells.get(s.line.cell());
     double over = c == null || c.readers <= 0 ? 0 : 1 - c.writers * readersAWriter() / c.readers;
-    return Math.max(0, over) * (s.line.zone() == set.zone() ? 1 : LENT_FAR);
+    return Math.max(0, over) * (s.line.zone() == zone ? 1 : LENT_FAR);
   }
 
   /** The reader that the hash of the shared beginning picks, unless it is too busy beside the others. */
@@ -856,7 +884,7 @@
           && (readsOut(companion) < READS_PER_READER || companion.taken() > TIGHT);
       Server rd = null;
       if (remote || !companion.readsItself()) {
-        rd = readNear(this, companion) ? null : reader(this, Rules.this::lends);
+        rd = readNear(this, companion) ? null : reader(this, s -> lends(s, companion.line.zone()));
         rd = rd != null ? rd : reader(this, s -> s.line.cell() == companion.line.cell() ? 1 : 0);
         rd = rd != null ? rd : reader(this, s -> s.line.zone() == companion.line.zone() ? 1 : 0);
         rd = rd != null ? rd : reader(this, s -> 1);
