--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -212,7 +212,7 @@
   private static final class Pool {
     final Tally pace = new Tally(12);
     double worked;                                            // forwards that went well, fading
-    double held, heldEach;                                    // tokens of own streams; at a server, over seconds
+    double held, heldEach;                                    // shares of memory by own streams; smoothed
     int warm = 1;
 
     void beat(boolean halve, int warmNow) {
@@ -347,8 +347,8 @@
 
     double reported(int column) { return column >= 0 && column < report.length ? report[column] : 0; }
 
-    /** What is held here by own streams and, for each other gateway, what this one holds at a writer on average. */
-    double ownLoad() { return (held + (set.gateways() - 1) * pools.get(role()).heldEach) / memory(); }
+    /** The share that own streams hold and, for each other gateway, what this one holds at a writer on average. */
+    double ownLoad() { return held / memory() + (set.gateways() - 1) * pools.get(role()).heldEach; }
 
     /** The share of its memory, or failing that of its slots, that is taken. */
     double taken() {
@@ -479,7 +479,7 @@
 
     private void hold(double tokens) {
       held += tokens;
-      pools.get(role()).held += tokens;
+      pools.get(role()).held += tokens / memory();
     }
 
     private void learn(Try t) {
