Pushback by the waits seen over a role where a server itself showed none

Change: the last dozen waits of a role, forwards that already wait longer and those that timed out among them, stand in for a server's own. Guards against any jam of a role; harm: lost answers look like waits while most are lost.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -76,7 +76,6 @@
   private final Deque<Actor> reqMail = new ArrayDeque<>();
   private final Map<Role, Pool> pools = new EnumMap<>(Role.class);
   private final Map<Integer, Cell> cells = new TreeMap<>();
-  private final Tally hereWaits = new Tally(8);               // at the writers of this zone
   private final Tally lateness = new Tally(2);                // begun in time, begun late or failed
   private final double[] allowance;                           // reqs within each customer's share, saved up
   private List<Action> out = new ArrayList<>();
@@ -211,6 +210,8 @@
   /** What the servers of one role do together. */
   private static final class Pool {
     final Tally pace = new Tally(12);
+    final Tally waits = new Tally(8);
+    final Set<Try> unbegun = new LinkedHashSet<>();
     double worked;                                            // forwards that went well, fading
     double held, heldEach;                                    // shares of memory by own streams; smoothed
     int warm = 1;
@@ -227,6 +228,17 @@
     /** Seconds that reading so much takes when nothing waits. */
     double usual(double toRead) { return Math.pow(2, pace.quantile(0.25)) / 1e6 * (500 + toRead); }
 
+    /** How long forwards wait here: what was seen lately, and what already waits longer. */
+    double wait(Duration now) {
+      double seen = typical(waits);
+      Tally all = waits.copy();
+      for (Try t : unbegun) {
+        double so = seconds(now.minus(t.sentAt)) - (t.read ? usual(t.toRead) : 0);
+        all.add(bin(so), so > seen ? 1 : 0);
+      }
+      return typical(all);
+    }
+
     /** Forwards a second that went well at one warm server; the fading sum spans two seconds. */
     double rate() { return worked / (seconds(BEAT) / 0.05) / Math.max(1, warm); }
   }
@@ -331,14 +343,14 @@
      * silent, whatever the cause and without any report: what waits longest counts before its outcome is in.
      */
     double delay() {
-      double seen = typical(waits);
+      double seen = waits.sum() < 0.5 ? pools.get(role()).wait(now) : typical(waits);
       Try first = unbegun.isEmpty() ? null : unbegun.iterator().next();
       return first == null ? seen : Math.max(seen, excess(first, now.minus(first.sentAt)));
     }
 
     /** What a forward took beyond the reading that it asked for. */
     private double excess(Try t, Duration took) {
-      return Math.max(0.01, seconds(took) - (t.read ? pools.get(role()).usual(t.toRead) : 0));
+      return seconds(took) - (t.read ? pools.get(role()).usual(t.toRead) : 0);
     }
 
     boolean heard() { return heard(REPORT_OLD); }
@@ -430,6 +442,7 @@
 
     private void sent(Try t) {
       unbegun.add(t);
+      pools.get(role()).unbegun.add(t);
       if (t.read) {
         reads++;
       } else {
@@ -450,6 +463,7 @@
 
     private void begun(Try t) {
       unbegun.remove(t);
+      pools.get(role()).unbegun.remove(t);
       unread -= t.local ? t.unread : 0;
       t.unread = 0;
     }
@@ -512,16 +526,15 @@
      */
     private void judge(boolean well, Try t, Duration took) {
       went.add(well ? 0 : 1, 1);
-      if (writer() && line.zone() == set.zone()) {
-        hereWaits.add((int) Math.ceil(Math.log(excess(t, took) / FIRST_WAIT) / Math.log(2)), 1);
-        if (hereWaits.sum() > WAITS_KEPT) {
-          hereWaits.halve();
-        }
+      Tally seen = pools.get(role()).waits;
+      seen.add(bin(excess(t, took)), 1);
+      if (seen.sum() > WAITS_KEPT) {
+        seen.halve();
       }
       if (well) {
         pools.get(role()).worked += cold() ? 0 : 1;
         int bin = (int) Math.floor(Math.log(seconds(took) * 1e6 / (500 + t.toRead)) / Math.log(2));
-        waits.add((int) Math.ceil(Math.log(excess(t, took) / FIRST_WAIT) / Math.log(2)), 1);
+        waits.add(bin(excess(t, took)), 1);
         pools.get(role()).pace.add(bin, 1);
         if (aside) {
           gap = gap.dividedBy(2);
@@ -660,10 +673,15 @@
     double here = cells.values().stream().filter(c -> c.zone == set.zone()).mapToDouble(c -> c.writers).sum();
     long zones = cells.values().stream().map(c -> c.zone).distinct().count();
     double part = Math.max(1 - ABROAD_UNDER * here * zones / all,
-        Math.min(0.5, (typical(hereWaits) - FREE_WAIT) / ABROAD_WAIT));
+        Math.min(0.5, (pools.get(Role.WRITE).wait(now) - FREE_WAIT) / ABROAD_WAIT));
     return here < all && part(r.in.session() + 3, 0) < part;
   }
 
+  /** Waits are counted in bins, each twice as long as the one before. */
+  private static int bin(double wait) {
+    return (int) Math.ceil(Math.log(Math.max(0.01, wait) / FIRST_WAIT) / Math.log(2));
+  }
+
   private static double typical(Tally waits) { return waits.sum() < 0.5 ? 0 : FIRST_WAIT * (1 << waits.quantile(0.5)); }
 
   /** A number between 0 and 1 that is the same at every gateway. */
--- a/src/main/java/gapproxy/Tally.java
+++ b/src/main/java/gapproxy/Tally.java
@@ -8,6 +8,12 @@
     bins = new double[n];
   }
 
+  Tally copy() {
+    Tally t = new Tally(bins.length);
+    System.arraycopy(bins, 0, t.bins, 0, bins.length);
+    return t;
+  }
+
   void add(int bin, double weight) {
     bins[Math.max(0, Math.min(bins.length - 1, bin))] += weight;
   }
