--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -239,6 +239,8 @@
       return typical(all);
     }
 
+    double middling(double toRead) { return Math.pow(2, pace.quantile(0.5)) / 1e6 * (500 + toRead); }
+
     /** Forwards a second that went well at one warm server; the fading sum spans two seconds. */
     double rate() { return worked / (seconds(BEAT) / 0.05) / Math.max(1, warm); }
   }
@@ -831,7 +833,11 @@
       if (note instanceof Event.Accept) {
         meanPrompt += (in.prompt() - meanPrompt) / 50;
         rank = rank();
-        ask();
+        if (hopeless()) {
+          giveUp();
+        } else {
+          ask();
+        }
       } else if (note instanceof Answered a && asked.remove(a.by) && asked.isEmpty() || note instanceof Waited) {
         if (planAt != null && !closed) {
           planAt = null;
@@ -1003,6 +1009,16 @@
               || wait > seconds(target()) * (LEAST_WAIT + (MOST_WAIT - LEAST_WAIT) * rank));
     }
 
+    /**
+     * Pushback of what can't be begun before its client gives up, at half of the pace seen lately, before anything is
+     * asked or sent. Guards against clients that leave early and repeat, which else fill the readers with dead work.
+     */
+    private boolean hopeless() {
+      Pool rd = pools.get(Role.READ);
+      Pool wr = pools.get(Role.WRITE);
+      return rd.pace.sum() > 2 && wr.pace.sum() > 2 && rd.middling(in.prompt()) + wr.middling(0) > seconds(left());
+    }
+
     /** The one place of the final answers that this gateway gives; what is held goes with it. */
     private void giveUp() {
       closed = true;
