--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -947,9 +947,8 @@
      * is seen, since a further forward would add to it. It could harm by wasting what was nearly done.
      */
     private Duration patience(Server s, double toRead) {
-      Duration inTime = taken.plus(target()).minus(now);
       if (overloaded() || further >= FURTHER) {
-        return toRead > 0 && s.role() == Role.READ && inTime.compareTo(left()) < 0 && inTime.toMillis() > 1 ? inTime : left();
+        return left();
       }
       double usual = Math.pow(2, pools.get(s.role()).pace.quantile(0.95) + 1) / 1e6 * (500 + toRead);
       return Duration.ofMillis((long) (1000 * Math.max(PATIENCE * usual, seconds(target()))));
