--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -974,7 +974,7 @@
         write();
         return;
       }
-      lateness.add(1, e.outcome() == Outcome.FULL || e.outcome() == Outcome.TIMED_OUT ? 1 : 0);
+      lateness.add(1, e.outcome() == Outcome.CANCELLED ? 0 : 1);
       if (further >= FURTHER || overloaded() || begun) {
         giveUp();
         return;
