A writing that was reset goes again to the same writer, which keeps its text

Cause: answer_lost: the work runs, its answer is lost; another writer has no state and reads the whole prompt. Change: at a server still listed the first further forward of a reset writing goes to the same writer. Harm: one forward more at a server that breaks all.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -787,7 +787,7 @@
     final double weight;
     final Duration sentAt;
     double believed, toRead, unread;
-    boolean local;
+    boolean local, resent;
     Outcome how;
 
     Try(Req req, Server at, int number, boolean read, Duration sentAt) {
@@ -974,13 +974,17 @@
         write();
         return;
       }
+      boolean lost = e.outcome() == Outcome.BROKEN && t.at.ready() && !t.resent;
       lateness.add(1, e.outcome() == Outcome.CANCELLED ? 0 : 1);
       if (further >= FURTHER || overloaded() || begun) {
         giveUp();
         return;
       }
       further++;
-      if (stateAt != null) {
+      if (lost && !t.read && open(this, t.at)) {
+        send(this, t.at, false, patience(t.at, 0));
+        tries.get(tries.size() - 1).resent = true;
+      } else if (stateAt != null) {
         companion = companion == t.at ? null : companion;
         write();
       } else {
