--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -975,7 +975,7 @@
         return;
       }
       boolean lost = e.outcome() == Outcome.BROKEN && t.at.ready() && !t.resent;
-      lateness.add(1, e.outcome() == Outcome.FULL || e.outcome() == Outcome.TIMED_OUT ? 1 : 0);
+      lateness.add(1, e.outcome() == Outcome.CANCELLED ? 0 : 1);
       if (further >= FURTHER || overloaded() || begun) {
         giveUp();
         return;
