Cold budget is saved up from a chance start instead of one req a span

Change: each gateway saves up three quarters of what a like server finishes for it, in fractions, from a start drawn between 0 and 1.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -275,7 +275,6 @@
     final long id;
     final Map<Long, Kept> kept = new LinkedHashMap<>();
     final Deque<Kept> recent = new ArrayDeque<>();            // tokens sent lately, for the reports' lag
-    final Deque<Duration> whileCold = new ArrayDeque<>();
     final Tally went = new Tally(2);                          // well, badly
     Tally waits = new Tally(8);                               // till the first token or the end of the read
     final Set<Try> unbegun = new LinkedHashSet<>();
@@ -287,6 +286,8 @@
     Duration heardAt, fullAt, askedAt;
     final List<Req> askers = new ArrayList<>();
     Duration nextProbe = Duration.ZERO;
+    double credit = chance.nextDouble();
+    Duration creditAt = now;
     boolean aside, probed;
     Req trickleFor;                                           // its writing comes after a read elsewhere
     Duration gap = FIRST_TRICKLE;
@@ -324,15 +325,17 @@
 
     /**
      * Cold budget. Guards against tipping a server that has just started, whoever else sends to it: a gateway
-     * keeps to three quarters of what a like server finishes, or one req a span. It also eases in a replaced
-     * machine; it could starve a server when starts are frequent.
+     * saves up three quarters of what a like server finishes for it, from a chance start below one req, so that
+     * gateways with little traffic don't all send their one at once. It also eases in a replaced machine; it
+     * could starve a server when starts are frequent.
      */
     boolean coldRoom() {
-      Duration from = now.minus(set.cold().tipSpan());
-      whileCold.removeIf(t -> t.compareTo(from) <= 0);
-      double part = Math.min(1, set.cold().tipMultiple() * strength()) * COLD_PART;
-      part *= pools.get(role()).rate() * seconds(set.cold().tipSpan());
-      return !cold() || whileCold.size() + 1 <= Math.max(1, part);
+      if (cold()) {
+        double part = COLD_PART * Math.min(1, set.cold().tipMultiple() * strength()) * pools.get(role()).rate();
+        credit = Math.min(1, credit + part * seconds(now.minus(creditAt)));
+        creditAt = now;
+      }
+      return !cold() || credit >= 1;
     }
 
     boolean mayTrickle(Req r) {
@@ -404,6 +407,8 @@
           waits = new Tally(8);
           aside = false;
           went.clear(1);
+          credit = chance.nextDouble();
+          creditAt = now;
         }
         line = l;
         listed = true;
@@ -455,7 +460,7 @@
         recent.add(new Kept(t.weight, now));
       }
       if (cold()) {
-        whileCold.add(now);
+        credit--;
       }
       if (aside) {
         nextTrickle = now.plus(gap);
