--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -1,17 +1,14 @@
 package gapproxy;
 
-import gapproxy.api.Action;
-import gapproxy.api.Event;
+import static gapproxy.Spans.least;
+import static gapproxy.Spans.seconds;
+
+import gapproxy.api.*;
 import gapproxy.api.Event.Outcome;
-import gapproxy.api.Settings;
-import gapproxy.api.Settings.EndpointGroup;
-import gapproxy.api.Settings.Repeat;
-import gapproxy.api.Settings.Role;
-import gapproxy.api.Settings.Source;
+import gapproxy.api.Settings.*;
 import java.time.Duration;
 import java.util.*;
-import java.util.function.Predicate;
-import java.util.function.ToDoubleFunction;
+import java.util.function.*;
 import java.util.random.RandomGenerator;
 
 /**
@@ -24,56 +21,53 @@
 public final class Rules {
   // The design's figures.
   private static final double READ_REMOTELY_OVER = 300;      // uncached tokens
-  private static final double READS_PER_READER = 4;           // the gauge's limit for each reader of the cell
-  private static final double LEAVE_READER_OVER = 2;          // times the reads of the least-busy reader
+  private static final double READS_PER_READER = 4;          // the gauge's limit for each reader of the cell
+  private static final double LEAVE_READER_OVER = 2;         // times the reads of the least-busy reader
   private static final Duration KEPT_FOR = Duration.ofSeconds(10);
-  private static final double ROOM_PER_1000_UNCACHED = 0.10;  // room weights, as shares of a writer
+  private static final double ROOM_PER_1000_UNCACHED = 0.10; // room weights, as shares of a writer
   private static final double ROOM_OTHER_ZONE = 0.40;
-  private static final double ROOM_PER_READ_OUT = 0.15;       // for each read out per reader of its cell
+  private static final double ROOM_PER_READ_OUT = 0.15;      // for each read out per reader of its cell
+  private static final double ROOM_HOME = 0.30;              // for a writer away from the session's home
   private static final double ROOM_CHANCE = 0.15;
-  private static final double ROOM_HOME = 0.30;
-  private static final double STAY = 0.75;                    // times a cell's part of the readers it would need
-  private static final double ABROAD_UNDER = 1.1;             // times a zone's part of the writers
-  private static final double FREE_WAIT = 0.2;                // seconds
-  private static final double ABROAD_WAIT = 4;                // seconds at which all would leave
-  private static final int WAITS_KEPT = 12;
-  private static final double LENT_FAR = 0.2;                 // weight of another zone's lenders
+  private static final double STAY = 0.75;                   // times a cell's part of the readers it needs
+  private static final double LENT_FAR = 0.2;                // weight of another zone's lenders
+  private static final double ABROAD_UNDER = 1.1;            // times a zone's part of the writers
+  private static final double FREE_WAIT = 0.2;               // seconds
+  private static final double ABROAD_WAIT = 4;               // seconds more at which all would leave
   // The mechanisms' figures.
   private static final Duration BEAT = Duration.ofMillis(100);
-  private static final double HELD_STEP = 0.02;               // of the way to the new value, each beat
   private static final int BEATS_TO_HALVE = 40;
+  private static final int BEATS_TO_FORGET_WAITS = 10;
+  private static final double HELD_STEP = 0.02;              // of the way to the new value, each beat
   private static final double BAD_SHARE = 0.3;
   private static final double BAD_LEAST = 1.5;
   private static final Duration FIRST_TRICKLE = Duration.ofMillis(800);
   private static final Duration LAST_TRICKLE = Duration.ofMillis(80);
   private static final Duration LONGEST_TRICKLE = Duration.ofSeconds(3);
   private static final int FURTHER = 2;
-  private static final double PATIENCE = 8;                   // times what most such forwards take
+  private static final double PATIENCE = 8;                  // times what most such forwards take
   private static final double COLD_PART = 0.75;
-  private static final double FIRST_WAIT = 0.05;              // seconds; each further bin is twice as long
-  private static final int BEATS_TO_FORGET_WAITS = 10;
+  private static final double FIRST_WAIT = 0.05;             // seconds; each further bin is twice as long
+  private static final int WAITS_KEPT = 12;
   private static final double LATE_SHARE = 0.35;
-  private static final double TIGHT = 0.25;                   // of a writer's memory
+  private static final double TIGHT = 0.25;                  // of a writer's memory
   private static final double LEAST_LOAD = 1.0;
   private static final double MOST_LOAD = 1.3;
-  private static final double LEAST_WAIT = 0.8;               // parts of the response target
+  private static final double LEAST_WAIT = 0.8;              // parts of the response target
   private static final double MOST_WAIT = 1.5;
-  private static final int ASKED = 2;                         // writers, and a reader for each
-  private static final double ASK_FAR = 0.2;                  // how often writers of all zones are asked
+  private static final int ASKED = 2;                        // writers, and a reader for each
+  private static final double ASK_FAR = 0.2;                 // how often writers of all zones are asked
   private static final Duration ASK_WAIT = Duration.ofMillis(30);
   private static final Duration ASK_AGAIN = Duration.ofMillis(250);
   private static final Duration REPORT_LAG = Duration.ofMillis(400);
   private static final Duration REPORT_OLD = Duration.ofSeconds(3);
-  private static final Set<Outcome> NEVER_RAN =
-      EnumSet.of(Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.READ);
 
   private final Settings set;
   private final RandomGenerator chance;
   private final Map<Long, Server> servers = new TreeMap<>();
   private final Map<Long, Req> reqs = new HashMap<>();
   private final List<Req> asking = new ArrayList<>();         // reqs that wait for reports
-  private final Deque<Actor> serverMail = new ArrayDeque<>();
-  private final Deque<Actor> reqMail = new ArrayDeque<>();
+  private final Mail mail = new Mail();                       // servers' first: choices see what was sent
   private final Map<Role, Pool> pools = new EnumMap<>(Role.class);
   private final Map<Integer, Cell> cells = new TreeMap<>();
   private final Tally lateness = new Tally(2);                // begun in time, begun late or failed
@@ -98,70 +92,27 @@
     now = time;
     out = new ArrayList<>();
     events.forEach(this::deliver);
-    asking.removeIf(r -> {
-      boolean over = now.compareTo(r.planAt) >= 0;
-      if (over) {
-        post(r, new Waited());
-      }
-      return over;
-    });
+    asking.stream().filter(r -> now.compareTo(r.planAt) >= 0).forEach(r -> mail.post(r, new Note.Waited()));
     if (now.compareTo(nextBeat) >= 0) {
       beat();
     }
-    while (!serverMail.isEmpty() || !reqMail.isEmpty()) {
-      Actor a = serverMail.isEmpty() ? reqMail.poll() : serverMail.poll();
-      a.take(a.inbox.poll());
-    }
+    mail.empty();
     return out;
   }
 
   // ---- mail
 
-  private abstract static class Actor {
-    final Deque<Object> inbox = new ArrayDeque<>();
-
-    abstract void take(Object note);
-  }
-
-  /** Servers' mail goes first, so that each req's choice sees what the last one sent. */
-  private void post(Actor to, Object note) {
-    to.inbox.add(note);
-    (to instanceof Server ? serverMail : reqMail).add(to);
-  }
-
-  private record Sent(Try t) {}
-
-  private record Begun(Try t, Duration took) {}
-
-  private record Over(Try t, Event.Ended how) {}
-
-  private record Heard(double[] report) {}
-
-  private record Shown(Outcome outcome) {}
-
-  private record Asked(Req by) {}
-
-  private record Answered(Server by) {}
-
-  private record Waited() {}
-
-  private record Claimed(Req by) {}
-
-  private record Removed() {}
-
-  private record Beat(boolean halve) {}
-
   private void deliver(Event e) {
     if (e instanceof Event.Accept a) {
       Req r = new Req(a);
       reqs.put(a.req(), r);
-      post(r, a);
+      mail.post(r, a);
     } else if (e instanceof Event.OfReq o && reqs.containsKey(o.req())) {
-      post(reqs.get(o.req()), e);
+      mail.post(reqs.get(o.req()), e);
     } else if (e instanceof Event.Probed p && servers.containsKey(p.server())) {
       Server s = servers.get(p.server());
-      post(s, new Heard(p.report()));
-      post(s, new Shown(p.outcome()));
+      mail.post(s, new Note.Heard(p.report()));
+      mail.post(s, new Note.Shown(p.outcome()));
     } else if (e instanceof Event.ServerList l) {
       list(l);
     }
@@ -176,11 +127,12 @@
     for (Event.Line line : l.lines()) {
       named.add(line.server());
       if (line.kind() < set.kinds().size()) {
-        post(servers.computeIfAbsent(line.server(), id -> new Server(id, line)), line);
+        mail.post(servers.computeIfAbsent(line.server(), id -> new Server(id, line)), line);
       }
     }
     if (l.form() != Event.ListForm.CHANGES) {
-      servers.values().stream().filter(s -> !named.contains(s.id)).forEach(s -> post(s, new Removed()));
+      servers.values().stream().filter(s -> !named.contains(s.id))
+          .forEach(s -> mail.post(s, new Note.Removed()));
     }
   }
 
@@ -201,7 +153,7 @@
     }
     pools.forEach((role, p) -> p.beat(beats % BEATS_TO_HALVE == 0,
         (int) servers.values().stream().filter(s -> s.role() == role && s.ready() && !s.cold()).count()));
-    servers.values().forEach(s -> post(s, new Beat(beats % BEATS_TO_HALVE == 0)));
+    servers.values().forEach(s -> mail.post(s, new Note.Beat(beats % BEATS_TO_HALVE == 0)));
     countCells();
   }
 
@@ -210,7 +162,7 @@
   /** What the servers of one role do together. */
   private static final class Pool {
     final Tally pace = new Tally(12);
-    final Tally waits = new Tally(8);
+    final Waits waits = new Waits(FIRST_WAIT);
     final Set<Try> unbegun = new LinkedHashSet<>();
     double worked;                                            // forwards that went well, fading
     double held, heldEach;                                    // shares of memory by own streams; smoothed
@@ -230,15 +182,16 @@
 
     /** How long forwards wait here: what was seen lately, and what already waits longer. */
     double wait(Duration now) {
-      double seen = typical(waits);
-      Tally all = waits.copy();
-      for (Try t : unbegun) {
-        double so = seconds(now.minus(t.sentAt)) - (t.read ? usual(t.toRead) : 0);
-        all.add(bin(so), so > seen ? 1 : 0);
-      }
-      return typical(all);
+      double seen = waits.typical();
+      Waits all = waits.copy();
+      unbegun.stream().mapToDouble(t -> excess(t, now.minus(t.sentAt))).filter(w -> w > seen)
+          .forEach(all::add);
+      return all.typical();
     }
 
+    /** What a forward took beyond the reading that it asked for. */
+    double excess(Try t, Duration took) { return seconds(took) - (t.read ? usual(t.toRead) : 0); }
+
     double middling(double toRead) { return Math.pow(2, pace.quantile(0.5)) / 1e6 * (500 + toRead); }
 
     /** Forwards a second that went well at one warm server; the fading sum spans two seconds. */
@@ -264,42 +217,44 @@
 
   /** Readers that all the fleet has for each writer. */
   private double readersAWriter() {
-    double writers = cells.values().stream().mapToDouble(c -> c.writers).sum();
-    return cells.values().stream().mapToDouble(c -> c.readers).sum() / Math.max(1e-9, writers);
+    return cells.values().stream().mapToDouble(c -> c.readers).sum()
+        / Math.max(1e-9, cells.values().stream().mapToDouble(c -> c.writers).sum());
   }
 
   private record Kept(double tokens, Duration at) {}
 
   /** One model server as this gateway sees it. */
-  private final class Server extends Actor {
+  final class Server extends Mail.Actor {
     final long id;
-    final Map<Long, Kept> kept = new LinkedHashMap<>();
+    final Map<Long, Kept> kept = new HashMap<>();
     final Deque<Kept> recent = new ArrayDeque<>();            // tokens sent lately, for the reports' lag
     final Tally went = new Tally(2);                          // well, badly
-    Tally waits = new Tally(8);                               // till the first token or the end of the read
+    Waits waits = new Waits(FIRST_WAIT);                      // till the first token or the end of the read
     final Set<Try> unbegun = new LinkedHashSet<>();
     Event.Line line;
     boolean listed = true;
     int reads, open;
     double held, unread;                                      // own forwards' tokens; those to be read here
     double[] report;
-    Duration heardAt, fullAt, askedAt;
     final List<Req> askers = new ArrayList<>();
-    Duration nextProbe = Duration.ZERO;
+    Duration heardAt, fullAt, askedAt;
+    Duration nextProbe = Duration.ZERO, creditAt = now;
     double credit = chance.nextDouble();
-    Duration creditAt = now;
     boolean aside, probed;
     Req trickleFor;                                           // its writing comes after a read elsewhere
     Duration gap = FIRST_TRICKLE;
     Duration nextTrickle = Duration.ZERO;
 
     Server(long id, Event.Line line) {
+      super(true);
       this.id = id;
       this.line = line;
     }
 
     Role role() { return kind().role(); }
 
+    Pool pool() { return pools.get(role()); }
+
     boolean reader() { return role() != Role.WRITE; }
 
     boolean writer() { return role() != Role.READ; }
@@ -325,13 +280,13 @@
 
     /**
      * Cold budget. Guards against tipping a server that has just started, whoever else sends to it: a gateway
-     * saves up three quarters of what a like server finishes for it, from a chance start below one req, so that
-     * gateways with little traffic don't all send their one at once. It also eases in a replaced machine; it
-     * could starve a server when starts are frequent.
+     * saves up three quarters of what a like server finishes for it, from a chance start below one req, so
+     * that gateways with little traffic don't all send at once. It also eases in a replaced machine; it could
+     * starve a server when starts are frequent.
      */
     boolean coldRoom() {
       if (cold()) {
-        double part = COLD_PART * Math.min(1, set.cold().tipMultiple() * strength()) * pools.get(role()).rate();
+        double part = COLD_PART * Math.min(1, set.cold().tipMultiple() * strength()) * pool().rate();
         credit = Math.min(1, credit + part * seconds(now.minus(creditAt)));
         creditAt = now;
       }
@@ -348,14 +303,9 @@
      * silent, whatever the cause and without any report: what waits longest counts before its outcome is in.
      */
     double delay() {
-      double seen = waits.sum() < 0.5 ? pools.get(role()).wait(now) : typical(waits);
+      double seen = waits.sum() < 0.5 ? pool().wait(now) : waits.typical();
       Try first = unbegun.isEmpty() ? null : unbegun.iterator().next();
-      return first == null ? seen : Math.max(seen, excess(first, now.minus(first.sentAt)));
-    }
-
-    /** What a forward took beyond the reading that it asked for. */
-    private double excess(Try t, Duration took) {
-      return seconds(took) - (t.read ? pools.get(role()).usual(t.toRead) : 0);
+      return first == null ? seen : Math.max(seen, pool().excess(first, now.minus(first.sentAt)));
     }
 
     boolean heard() { return heard(REPORT_OLD); }
@@ -364,8 +314,8 @@
 
     double reported(int column) { return column >= 0 && column < report.length ? report[column] : 0; }
 
-    /** The share that own streams hold and, for each other gateway, what this one holds at a writer on average. */
-    double ownLoad() { return held / memory() + (set.gateways() - 1) * pools.get(role()).heldEach; }
+    /** What own streams hold here and, for each other gateway, what own streams hold on average. */
+    double ownLoad() { return held / memory() + (set.gateways() - 1) * pool().heldEach; }
 
     /** The share of its memory, or failing that of its slots, that is taken. */
     double taken() {
@@ -386,11 +336,8 @@
     }
 
     double believed(Event.Accept a) {
-      if (writer() && taken() > TIGHT) {
-        return 0;
-      }
-      return Math.max(a.session() == 0 ? 0 : found(a.session(), a.prompt()),
-          a.shared() == 0 ? 0 : found(a.shared(), a.sharedPart()));
+      return writer() && taken() > TIGHT ? 0
+          : Math.max(found(a.session(), a.prompt()), found(a.shared(), a.sharedPart()));
     }
 
     private double found(long key, double most) {
@@ -404,7 +351,7 @@
         if (l.upSince() != null && !l.upSince().equals(line.upSince())) {
           kept.clear();
           report = null;
-          waits = new Tally(8);
+          waits = new Waits(FIRST_WAIT);
           aside = false;
           went.clear(1);
           credit = chance.nextDouble();
@@ -412,80 +359,69 @@
         }
         line = l;
         listed = true;
-      } else if (note instanceof Removed) {
+      } else if (note instanceof Note.Removed) {
         listed = false;
-      } else if (note instanceof Claimed c) {
-        trickleFor = c.by;
+      } else if (note instanceof Note.Claimed c) {
+        trickleFor = c.by();
         nextTrickle = now.plus(gap);
-      } else if (note instanceof Sent s) {
-        sent(s.t);
-      } else if (note instanceof Begun b) {
-        learn(b.t);
-        begun(b.t);
-        judge(true, b.t, b.took);
-      } else if (note instanceof Over o) {
-        over(o.t, o.how);
-      } else if (note instanceof Heard h && h.report.length > 0) {
-        report = h.report;
+      } else if (note instanceof Note.Sent s) {
+        sent(s.t());
+      } else if (note instanceof Note.Begun b) {
+        learn(b.t());
+        begun(b.t());
+        judge(true, b.t(), b.took());
+      } else if (note instanceof Note.Over o) {
+        over(o.t(), o.how());
+      } else if (note instanceof Note.Heard h && h.report().length > 0) {
+        report = h.report();
         heardAt = now;
-        Duration from = now.minus(REPORT_LAG);
-        recent.removeIf(k -> k.at.compareTo(from) < 0);
-      } else if (note instanceof Asked a) {
+        recent.removeIf(k -> k.at.compareTo(now.minus(REPORT_LAG)) < 0);
+      } else if (note instanceof Note.Asked a) {
         if (askedAt == null || now.minus(askedAt).compareTo(ASK_AGAIN) >= 0) {
           out.add(new Action.Probe(id));
           askedAt = now;
           askers.clear();
         }
-        askers.add(a.by);
-      } else if (note instanceof Shown s) {
-        askers.forEach(r -> post(r, new Answered(this)));
+        askers.add(a.by());
+      } else if (note instanceof Note.Shown s) {
+        askers.forEach(r -> mail.post(r, new Note.Answered(this)));
         askers.clear();
-        probed = s.outcome == Outcome.DONE;
+        probed = s.outcome() == Outcome.DONE;
         nextProbe = aside && !probed ? now.plus(gap) : nextProbe;
-      } else if (note instanceof Beat b) {
-        beat(b.halve);
+      } else if (note instanceof Note.Beat b) {
+        beat(b.halve());
       }
     }
 
     private void sent(Try t) {
       unbegun.add(t);
-      pools.get(role()).unbegun.add(t);
-      if (t.read) {
-        reads++;
-      } else {
+      pool().unbegun.add(t);
+      reads += t.read ? 1 : 0;
+      if (!t.read) {
         open++;
         hold(t.weight);
         t.unread = t.toRead;
         unread += t.unread;
         recent.add(new Kept(t.weight, now));
       }
-      if (cold()) {
-        credit--;
-      }
-      if (aside) {
-        nextTrickle = now.plus(gap);
-        probed = false;
-      }
+      credit -= cold() ? 1 : 0;
+      nextTrickle = aside ? now.plus(gap) : nextTrickle;
+      probed &= !aside;
     }
 
     private void begun(Try t) {
       unbegun.remove(t);
-      pools.get(role()).unbegun.remove(t);
+      pool().unbegun.remove(t);
       unread -= t.local ? t.unread : 0;
       t.unread = 0;
     }
 
     private void over(Try t, Event.Ended how) {
       begun(t);
-      if (t.read) {
-        reads--;
-      } else {
-        open--;
-        hold(open == 0 ? -held : -t.weight);
-      }
-      if (how.report().length > 0) {
-        take(new Heard(how.report()));
-      }
+      reads -= t.read ? 1 : 0;
+      open -= t.read ? 0 : 1;
+      hold(open == 0 ? -held : t.read ? 0 : -t.weight);
+      take(new Note.Heard(how.report()));
       switch (how.outcome()) {
         case READ -> {
           learn(t);
@@ -500,19 +436,13 @@
 
     private void hold(double tokens) {
       held += tokens;
-      pools.get(role()).held += tokens / memory();
+      pool().held += tokens / memory();
     }
 
     private void learn(Try t) {
-      Event.Accept a = t.req.in;
-      if (a.session() != 0) {
-        kept.remove(a.session());
-        kept.put(a.session(), new Kept(a.prompt(), now));
-      }
-      if (a.shared() != 0) {
-        kept.remove(a.shared());
-        kept.put(a.shared(), new Kept(a.sharedPart(), now));
-      }
+      kept.put(t.req.in.session(), new Kept(t.req.in.prompt(), now));
+      kept.put(t.req.in.shared(), new Kept(t.req.in.sharedPart(), now));
+      kept.remove(0L);
     }
 
     /**
@@ -533,16 +463,12 @@
      */
     private void judge(boolean well, Try t, Duration took) {
       went.add(well ? 0 : 1, 1);
-      Tally seen = pools.get(role()).waits;
-      seen.add(bin(excess(t, took)), 1);
-      if (seen.sum() > WAITS_KEPT) {
-        seen.halve();
-      }
+      pool().waits.add(pool().excess(t, took));
+      pool().waits.halveOver(WAITS_KEPT);
       if (well) {
-        pools.get(role()).worked += cold() ? 0 : 1;
-        int bin = (int) Math.floor(Math.log(seconds(took) * 1e6 / (500 + t.toRead)) / Math.log(2));
-        waits.add(bin(excess(t, took)), 1);
-        pools.get(role()).pace.add(bin, 1);
+        pool().worked += cold() ? 0 : 1;
+        waits.add(pool().excess(t, took));
+        pool().pace.add((int) Math.floor(Math.log(seconds(took) * 1e6 / (500 + t.toRead)) / Math.log(2)), 1);
         if (aside) {
           gap = gap.dividedBy(2);
           nextTrickle = now.plus(gap);
@@ -555,9 +481,8 @@
       } else if (aside) {
         setBack();
       } else if (went.count(1) >= BAD_LEAST && went.share(1) >= BAD_SHARE) {
-        long like = servers.values().stream().filter(s -> s.ready() && s.role() == role()).count();
-        long off = servers.values().stream().filter(s -> s.ready() && s.role() == role() && s.aside).count();
-        if (2 * (off + 1) <= like) {
+        List<Server> like = servers.values().stream().filter(s -> s.ready() && s.role() == role()).toList();
+        if (2 * (like.stream().filter(s -> s.aside).count() + 1) <= like.size()) {
           aside = true;
           gap = Duration.ZERO;
           setBack();
@@ -596,35 +521,38 @@
         .mapToDouble(s -> s.load(0)).average().orElse(-1);
   }
 
-  /** The writer with most room for this req: the design's companion, and the choice at the second stage. */
-  private Server writer(Req r, boolean reading, Predicate<Server> where) {
-    double average = averageLoad();
-    Integer home = home(r);
-    int zone = home == null ? set.zone() : cells.get(home).zone;
+  /** Those that may take this req now, or the one set aside whose trickle is due. */
+  private List<Server> choice(Req r, Predicate<Server> of) {
+    List<Server> all = servers.values().stream().filter(of).filter(s -> open(r, s)).toList();
+    List<Server> due = all.stream().filter(s -> s.aside && r.further == 0 && r.stateAt == null).toList();
+    return due.isEmpty() ? all.stream().filter(s -> !s.aside).toList() : due.subList(0, 1);
+  }
+
+  private static Server best(List<Server> of, ToDoubleFunction<Server> cost) {
     Server best = null;
     double least = Double.MAX_VALUE;
-    for (Server s : servers.values()) {
-      if (!s.writer() || !where.test(s) || !open(r, s)) {
-        continue;
-      }
-      if (s.aside && r.further == 0 && reading) {
-        return s;
-      } else if (s.aside) {
-        continue;
-      }
-      double cost = s.load(average) / s.strength()
-          + (reading ? ROOM_PER_1000_UNCACHED * (r.in.prompt() - s.believed(r.in)) / 1000
-              + ROOM_PER_READ_OUT * Math.min(20, readsOut(s)) : 0)
-          + (s.line.zone() == zone ? 0 : ROOM_OTHER_ZONE)
-          + (reading && home != null && s.line.cell() != home ? ROOM_HOME : 0) + chance.nextDouble() * ROOM_CHANCE;
-      if (cost < least) {
-        least = cost;
-        best = s;
-      }
+    for (Server s : of) {
+      double c = cost.applyAsDouble(s);
+      best = c < least ? s : best;
+      least = Math.min(c, least);
     }
     return best;
   }
 
+  /** The writer with most room for this req: the design's companion, and the choice at the second stage. */
+  private Server writer(Req r, Predicate<Server> where) {
+    double average = averageLoad();
+    boolean reading = r.stateAt == null;
+    Integer home = home(r);
+    int zone = home == null ? set.zone() : cells.get(home).zone;
+    return best(choice(r, s -> s.writer() && where.test(s)), s -> s.load(average) / s.strength()
+        + (reading ? ROOM_PER_1000_UNCACHED * (r.in.prompt() - s.believed(r.in)) / 1000
+            + ROOM_PER_READ_OUT * Math.min(20, readsOut(s)) : 0)
+        + (s.line.zone() == zone ? 0 : ROOM_OTHER_ZONE)
+        + (reading && home != null && s.line.cell() != home ? ROOM_HOME : 0)
+        + chance.nextDouble() * ROOM_CHANCE);
+  }
+
   /**
    * The gauge, for each reader of the cell: own reads out, or what is reported to wait if that is more. With
    * no reader that can be used a cell borrows the others', so that its writers do not stand idle.
@@ -635,69 +563,43 @@
   }
 
   private double readsOut(Server wr, Predicate<Server> where) {
-    double own = 0;
-    double told = 0;
-    int readers = 0;
-    int heard = 0;
-    for (Server s : servers.values()) {
-      if (s.reader() && s.ready() && !s.aside && s != wr && where.test(s)) {
-        readers++;
-        own += s.reads;
-        if (s.heard()) {
-          heard++;
-          int tokens = set.reports().waitingKTokens();
-          told += tokens >= 0 ? s.reported(tokens) * 1000 / meanPrompt : s.reported(set.reports().waiting());
-        }
-      }
-    }
-    return readers == 0 ? Double.MAX_VALUE : Math.max(own / readers, told / Math.max(1, heard));
+    List<Server> of = servers.values().stream()
+        .filter(s -> s.reader() && s.ready() && !s.aside && s != wr && where.test(s)).toList();
+    int tokens = set.reports().waitingKTokens();
+    double own = of.stream().mapToDouble(s -> s.reads).average().orElse(Double.MAX_VALUE);
+    return Math.max(own, of.stream().filter(Server::heard).mapToDouble(s -> tokens >= 0
+        ? s.reported(tokens) * 1000 / meanPrompt : s.reported(set.reports().waiting())).average().orElse(0));
   }
 
   /**
-   * The home of a req's session: the cell of this zone that a hash picks which all gateways share. Where a gateway
-   * sees few reqs of a session it can't learn where its text is kept; at home its earlier turns have been read.
+   * The home of a session: the cell that a hash picks which all gateways share. Where a gateway sees few reqs
+   * of a session it can't learn where its text is kept; at home its earlier turns have been read.
    */
   private Integer home(Req r) {
-    Integer home = null;
-    double best = 0;
     boolean abroad = abroad(r);
-    for (Map.Entry<Integer, Cell> e : cells.entrySet()) {
-      double score = Math.log(part(r.in.session(), e.getKey())) / e.getValue().writers;
-      if (e.getValue().zone == set.zone() != abroad && e.getValue().writers > 0 && (home == null || score > best)) {
-        home = e.getKey();
-        best = score;
-      }
-    }
-    return r.in.session() == 0 ? null : home;
+    return r.in.session() == 0 ? null : cells.keySet().stream()
+        .filter(c -> cells.get(c).zone == set.zone() != abroad && cells.get(c).writers > 0)
+        .max(Comparator.comparingDouble(c -> Math.log(Hash.part(r.in.session(), c)) / cells.get(c).writers))
+        .orElse(null);
   }
 
   /**
-   * Zones. A zone with less than its part of the writers, or whose writers were seen to make reqs wait, has some
-   * sessions at home in another zone: a part that grows with the wait, so that gateways do not leave together.
+   * A zone with less than its part of the writers, or whose writers were seen to make reqs wait, has sessions
+   * at home in another zone: a part that grows with the wait, so that gateways do not leave together.
    */
   private boolean abroad(Req r) {
     double all = cells.values().stream().mapToDouble(c -> c.writers).sum();
-    double here = cells.values().stream().filter(c -> c.zone == set.zone()).mapToDouble(c -> c.writers).sum();
+    double here = cells.values().stream().mapToDouble(c -> c.zone == set.zone() ? c.writers : 0).sum();
     long zones = cells.values().stream().map(c -> c.zone).distinct().count();
     double part = Math.max(1 - ABROAD_UNDER * here * zones / all,
         Math.min(0.5, (pools.get(Role.WRITE).wait(now) - FREE_WAIT) / ABROAD_WAIT));
-    return here < all && part(r.in.session() + 3, 0) < part;
+    return here < all && Hash.part(r.in.session() + 3, 0) < part;
   }
 
-  /** Waits are counted in bins, each twice as long as the one before. */
-  private static int bin(double wait) {
-    return (int) Math.ceil(Math.log(Math.max(0.01, wait) / FIRST_WAIT) / Math.log(2));
-  }
-
-  private static double typical(Tally waits) { return waits.sum() < 0.5 ? 0 : FIRST_WAIT * (1 << waits.quantile(0.5)); }
-
-  /** A number between 0 and 1 that is the same at every gateway. */
-  private static double part(long key, long id) { return (mixed(key ^ id) + 1.0) / Long.MAX_VALUE; }
-
-  /** Whether a cell has readers enough for this req; else it is read at a cell that has more than it needs. */
+  /** Whether a cell has readers enough for this req; else a cell reads it that has more than it needs. */
   private boolean readNear(Req r, Server wr) {
     Cell c = cells.get(wr.line.cell());
-    return c == null || part(r.in.session() + 1, 0) * c.writers * readersAWriter() < STAY * c.readers;
+    return c == null || Hash.part(r.in.session() + 1, 0) * c.writers * readersAWriter() < STAY * c.readers;
   }
 
   /** How much of the lent reads a reader takes: what its cell has beyond its own need. */
@@ -710,39 +612,14 @@
   /** The reader that the hash of the shared beginning picks, unless it is too busy beside the others. */
   private Server reader(Req r, ToDoubleFunction<Server> weight) {
     long key = r.in.shared() != 0 ? r.in.shared() : r.in.session();
-    Server picked = null;
-    double best = 0;
-    Server least = null;
-    for (Server s : servers.values()) {
-      double w = !s.reader() || s == r.companion ? 0 : weight.applyAsDouble(s);
-      if (w <= 0 || !open(r, s)) {
-        continue;
-      }
-      if (s.aside && r.further == 0) {
-        return s;
-      } else if (s.aside) {
-        continue;
-      }
-      double score = Math.log(part(key, s.id)) / w;
-      if (picked == null || score > best) {
-        picked = s;
-        best = score;
-      }
-      if (least == null || busy(s) < busy(least)) {
-        least = s;
-      }
-    }
+    List<Server> may = choice(r, s -> s.reader() && s != r.companion && weight.applyAsDouble(s) > 0);
+    Server picked = best(may, s -> -Math.log(Hash.part(key, s.id)) / weight.applyAsDouble(s));
+    Server least = best(may, this::busy);
     return picked != null && busy(picked) > LEAVE_READER_OVER * Math.max(1, busy(least)) ? least : picked;
   }
 
   private double busy(Server s) { return s.reads / s.strength(); }
 
-  private static long mixed(long z) {
-    z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
-    z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
-    return (z ^ (z >>> 31)) >>> 1;
-  }
-
   // ---- the send gate: every rule on what may be sent stands here
 
   private boolean open(Req r, Server s) {
@@ -751,21 +628,9 @@
         || r.running > 0 && !set.limits().copies()) {
       return false;
     }
-    for (Try t : r.tries) {
-      if (t.mayHaveRun()) {
-        Event.Line a = t.at.line;
-        boolean same = switch (r.group.scope()) {
-          case ALL -> true;
-          case ZONE -> a.zone() == s.line.zone();
-          case CELL -> a.cell() == s.line.cell();
-        };
-        boolean dropped = same && now.compareTo(t.sentAt.plus(r.group.window())) < 0;
-        if (r.group.repeat() != Repeat.REPLAYABLE && !(r.group.repeat() == Repeat.KEYED && dropped)) {
-          return false;
-        }
-      }
-    }
-    return true;
+    return r.group.repeat() == Repeat.REPLAYABLE || r.tries.stream().filter(Try::mayHaveRun).allMatch(t ->
+        r.group.repeat() == Repeat.KEYED && r.group.scope().covers(t.at.line, s.line)
+            && now.compareTo(t.sentAt.plus(r.group.window())) < 0);
   }
 
   private void send(Req r, Server s, boolean read, Duration timeOut) {
@@ -773,44 +638,19 @@
       throw new IllegalStateException("a send past the gate");
     }
     Duration most = r.left().minus(set.tick());
-    Try t = new Try(r, s, r.tries.size(), read, now);
+    double weight = r.in.prompt() + Math.min(200, r.in.maxAnswer() / 2);
+    Try t = new Try(r, s, r.tries.size(), read, weight, now);
     t.believed = s.believed(r.in);
     t.local = !read && r.stateAt == null;
     t.toRead = read || t.local ? r.in.prompt() - t.believed : 0;
     r.tries.add(t);
     r.running++;
     out.add(new Action.Forward(r.in.req(), s.id, least(timeOut, most)));
-    post(s, new Sent(t));
-  }
-
-  /** One forward of a req. */
-  private static final class Try {
-    final Req req;
-    final Server at;
-    final int number;
-    final boolean read;
-    final double weight;
-    final Duration sentAt;
-    double believed, toRead, unread;
-    boolean local, resent;
-    Outcome how;
-
-    Try(Req req, Server at, int number, boolean read, Duration sentAt) {
-      this.req = req;
-      this.at = at;
-      this.number = number;
-      this.read = read;
-      this.sentAt = sentAt;
-      weight = req.in.prompt() + Math.min(200, req.in.maxAnswer() / 2);
-    }
-
-    boolean mayHaveRun() {
-      return !(read && at.role() == Role.READ) && (how == null || !NEVER_RAN.contains(how));
-    }
+    mail.post(s, new Note.Sent(t));
   }
 
   /** One req, from its taking to its one final answer and the end of its last forward. */
-  private final class Req extends Actor {
+  final class Req extends Mail.Actor {
     final Event.Accept in;
     final EndpointGroup group;
     final Duration taken = now;
@@ -823,6 +663,7 @@
     double rank = 1;
 
     Req(Event.Accept in) {
+      super(false);
       this.in = in;
       group = set.groups().get(Math.min(in.group(), set.groups().size() - 1));
     }
@@ -843,10 +684,9 @@
         } else {
           ask();
         }
-      } else if (note instanceof Answered a && asked.remove(a.by) && asked.isEmpty() || note instanceof Waited) {
-        if (planAt != null && !closed) {
-          planAt = null;
-          asking.remove(this);
+      } else if (note instanceof Note.Answered a && asked.remove(a.by()) && asked.isEmpty()
+          || note instanceof Note.Waited) {
+        if (asking.remove(this) && !closed) {
           plan();
         }
       } else if (note instanceof Event.FirstToken f && f.forward() < tries.size()) {
@@ -854,7 +694,7 @@
         stateAt = null;
         Try t = tries.get(f.forward());
         lateness.add(now.minus(taken).compareTo(target()) <= 0 ? 0 : 1, 1);
-        post(t.at, new Begun(t, f.took()));
+        mail.post(t.at, new Note.Begun(t, f.took()));
       } else if (note instanceof Event.Ended e && e.forward() < tries.size()) {
         ended(tries.get(e.forward()), e);
       } else if (note instanceof Event.HungUp && !closed) {
@@ -863,6 +703,7 @@
       }
       if (closed && running == 0) {
         reqs.remove(in.req());
+        asking.remove(this);
       }
     }
 
@@ -884,7 +725,7 @@
         Server rd = reader(this, s -> s.line.cell() == w.line.cell() ? 1 : 0);
         for (Server s : rd == null ? List.of(w) : List.of(w, rd)) {
           if (!s.heard(ASK_AGAIN) && asked.add(s)) {
-            post(s, new Asked(this));
+            mail.post(s, new Note.Asked(this));
           }
         }
       }
@@ -900,22 +741,22 @@
     /** The design's path: a companion writer, then the length test and the gauge, then the cell's reader. */
     void plan() {
       stateAt = null;
-      companion = writer(this, true, s -> true);
+      companion = writer(this, s -> true);
       if (companion == null) {
         giveUp();
         return;
-      }
-      if (companion.aside) {
-        post(companion, new Claimed(this));
+      } else if (companion.aside) {
+        mail.post(companion, new Note.Claimed(this));
       }
       double uncached = in.prompt() - companion.believed(in);
       boolean remote = uncached > READ_REMOTELY_OVER
           && (readsOut(companion) < READS_PER_READER || companion.taken() > TIGHT);
       Server rd = null;
       if (remote || !companion.readsItself()) {
-        rd = readNear(this, companion) ? null : reader(this, s -> lends(s, companion.line.zone()));
-        rd = rd != null ? rd : reader(this, s -> s.line.cell() == companion.line.cell() ? 1 : 0);
-        rd = rd != null ? rd : reader(this, s -> s.line.zone() == companion.line.zone() ? 1 : 0);
+        Event.Line to = companion.line;
+        rd = readNear(this, companion) ? null : reader(this, s -> lends(s, to.zone()));
+        rd = rd != null ? rd : reader(this, s -> s.line.cell() == to.cell() ? 1 : 0);
+        rd = rd != null ? rd : reader(this, s -> s.line.zone() == to.zone() ? 1 : 0);
         rd = rd != null ? rd : reader(this, s -> 1);
       }
       if (rd == null && !companion.readsItself() || tooLate(rd, companion)) {
@@ -933,11 +774,11 @@
 
     /** After the read: the companion, or if it went bad another writer, near ones first. */
     private void write() {
-      Server w = companion != null && open(this, companion) ? companion : null;
       Event.Line from = stateAt.line;
-      w = w != null ? w : writer(this, false, s -> s.line.cell() == from.cell());
-      w = w != null ? w : writer(this, false, s -> s.line.zone() == from.zone());
-      w = w != null ? w : writer(this, false, s -> true);
+      Server w = companion != null && open(this, companion) ? companion : null;
+      w = w != null ? w : writer(this, s -> s.line.cell() == from.cell());
+      w = w != null ? w : writer(this, s -> s.line.zone() == from.zone());
+      w = w != null ? w : writer(this, s -> true);
       if (w == null) {
         giveUp();
       } else {
@@ -965,7 +806,7 @@
       }
       t.how = e.outcome();
       running--;
-      post(t.at, new Over(t, e));
+      mail.post(t.at, new Note.Over(t, e));
       closed |= e.closed();
       boolean noState = e.outcome() == Outcome.FULL && e.note() == 1;
       stateAt = e.outcome() == Outcome.READ ? t.at : noState ? null : stateAt;
@@ -975,18 +816,15 @@
       if (closed || running > 0) {
         return;
       }
+      lateness.add(1, e.outcome() == Outcome.CANCELLED || e.outcome() == Outcome.READ ? 0 : 1);
       if (e.outcome() == Outcome.READ) {
         write();
         return;
-      }
-      boolean lost = e.outcome() == Outcome.BROKEN && t.at.ready() && !t.resent;
-      lateness.add(1, e.outcome() == Outcome.CANCELLED ? 0 : 1);
-      if (further >= FURTHER || overloaded() || begun) {
+      } else if (further++ >= FURTHER || overloaded() || begun) {
         giveUp();
         return;
       }
-      further++;
-      if (lost && !t.read && open(this, t.at)) {
+      if (e.outcome() == Outcome.BROKEN && !t.read && !t.resent && open(this, t.at)) {
         send(this, t.at, false, patience(t.at, 0));
         tries.get(tries.size() - 1).resent = true;
       } else if (stateAt != null) {
@@ -1019,13 +857,15 @@
     }
 
     /**
-     * Pushback of what can't be begun before its client gives up, at half of the pace seen lately, before anything is
-     * asked or sent. Guards against clients that leave early and repeat, which else fill the readers with dead work.
+     * Pushback of what can't be begun before its client gives up, at the middle pace seen lately, before
+     * anything is asked or sent. Guards against clients that leave early and repeat, and any dead work; it
+     * could turn away what a quick server would still have begun.
      */
     private boolean hopeless() {
       Pool rd = pools.get(Role.READ);
       Pool wr = pools.get(Role.WRITE);
-      return rd.pace.sum() > 2 && wr.pace.sum() > 2 && rd.middling(in.prompt()) + wr.middling(0) > seconds(left());
+      return rd.pace.sum() > 2 && wr.pace.sum() > 2
+          && rd.middling(in.prompt()) + wr.middling(0) > seconds(left());
     }
 
     /** The one place of the final answers that this gateway gives; what is held goes with it. */
@@ -1057,8 +897,4 @@
       holding = false;
     }
   }
-
-  private static Duration least(Duration a, Duration b) { return a.compareTo(b) < 0 ? a : b; }
-
-  private static double seconds(Duration span) { return span.toNanos() / 1e9; }
 }
--- /dev/null
+++ b/src/main/java/gapproxy/Waits.java
@@ -0,0 +1,41 @@
+package gapproxy;
+
+/** A histogram of spans, in seconds: each bin goes to twice the edge of the one before. */
+final class Waits {
+  private static final int BINS = 8;
+  private final double first;
+  private Tally tally = new Tally(BINS);
+
+  Waits(double first) {
+    this.first = first;
+  }
+
+  Waits copy() {
+    Waits w = new Waits(first);
+    w.tally = tally.copy();
+    return w;
+  }
+
+  void add(double seconds) {
+    tally.add((int) Math.ceil(Math.log(Math.max(first / 8, seconds) / first) / Math.log(2)), 1);
+  }
+
+  void halve() {
+    tally.halve();
+  }
+
+  void halveOver(double most) {
+    if (tally.sum() > most) {
+      tally.halve();
+    }
+  }
+
+  double sum() {
+    return tally.sum();
+  }
+
+  /** The upper edge of the middle one's bin; 0 where nearly nothing was seen. */
+  double typical() {
+    return tally.sum() < 0.5 ? 0 : first * (1 << tally.quantile(0.5));
+  }
+}
--- a/src/main/java/gapproxy/api/Event.java
+++ b/src/main/java/gapproxy/api/Event.java
@@ -27,7 +27,14 @@
   /** The answer has begun; from here on the forward belongs to the client. */
   record FirstToken(long req, int forward, Duration took, long server) implements OfReq {}
 
-  enum Outcome { DONE, ERROR, FULL, TIMED_OUT, NO_CONNECTION, BROKEN, CANCELLED, NOT_SENT, READ }
+  enum Outcome {
+    DONE, ERROR, FULL, TIMED_OUT, NO_CONNECTION, BROKEN, CANCELLED, NOT_SENT, READ;
+
+    /** Whether it proves that the forward had no effect. */
+    public boolean neverRan() {
+      return this == FULL || this == NO_CONNECTION || this == NOT_SENT || this == READ;
+    }
+  }
 
   /** How a forward ended; {@code note} is kept tokens, or 1 with FULL where there was no state. */
   record Ended(long req, int forward, Outcome outcome, long server, long note, boolean closed,
--- a/src/main/java/gapproxy/api/Settings.java
+++ b/src/main/java/gapproxy/api/Settings.java
@@ -26,7 +26,13 @@
   public enum Repeat { REPLAYABLE, KEYED, NON_REPLAYABLE }
 
   /** Where the repeats of a keyed req are dropped. */
-  public enum Scope { ALL, ZONE, CELL }
+  public enum Scope {
+    ALL, ZONE, CELL;
+
+    public boolean covers(Event.Line a, Event.Line b) {
+      return this == ALL || (this == ZONE ? a.zone() == b.zone() : a.cell() == b.cell());
+    }
+  }
 
   public record EndpointGroup(Repeat repeat, Scope scope, Duration window, double importance,
       Duration responseTarget, Duration targetPer1000) {}
