--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -31,6 +31,9 @@
   private static final double ROOM_CHANCE = 0.15;
   private static final double STAY = 0.75;                   // times a cell's part of the readers it needs
   private static final double LENT_FAR = 0.2;                // weight of another zone's lenders
+  private static final double ABROAD_UNDER = 1.1;            // times a zone's part of the writers
+  private static final double FREE_WAIT = 0.2;               // seconds
+  private static final double ABROAD_WAIT = 4;               // seconds more at which all would leave
   // The mechanisms' figures.
   private static final Duration BEAT = Duration.ofMillis(100);
   private static final int BEATS_TO_HALVE = 40;
@@ -541,10 +544,11 @@
     double average = averageLoad();
     boolean reading = r.stateAt == null;
     Integer home = home(r);
+    int zone = home == null ? set.zone() : cells.get(home).zone;
     return best(choice(r, s -> s.writer() && where.test(s)), s -> s.load(average) / s.strength()
         + (reading ? ROOM_PER_1000_UNCACHED * (r.in.prompt() - s.believed(r.in)) / 1000
             + ROOM_PER_READ_OUT * Math.min(20, readsOut(s)) : 0)
-        + (s.line.zone() == set.zone() ? 0 : ROOM_OTHER_ZONE)
+        + (s.line.zone() == zone ? 0 : ROOM_OTHER_ZONE)
         + (reading && home != null && s.line.cell() != home ? ROOM_HOME : 0)
         + chance.nextDouble() * ROOM_CHANCE);
   }
@@ -572,12 +576,26 @@
    * of a session it can't learn where its text is kept; at home its earlier turns have been read.
    */
   private Integer home(Req r) {
+    boolean abroad = abroad(r);
     return r.in.session() == 0 ? null : cells.keySet().stream()
-        .filter(c -> cells.get(c).zone == set.zone() && cells.get(c).writers > 0)
+        .filter(c -> cells.get(c).zone == set.zone() != abroad && cells.get(c).writers > 0)
         .max(Comparator.comparingDouble(c -> Math.log(Hash.part(r.in.session(), c)) / cells.get(c).writers))
         .orElse(null);
   }
 
+  /**
+   * A zone with less than its part of the writers, or whose writers were seen to make reqs wait, has sessions
+   * at home in another zone: a part that grows with the wait, so that gateways do not leave together.
+   */
+  private boolean abroad(Req r) {
+    double all = cells.values().stream().mapToDouble(c -> c.writers).sum();
+    double here = cells.values().stream().mapToDouble(c -> c.zone == set.zone() ? c.writers : 0).sum();
+    long zones = cells.values().stream().map(c -> c.zone).distinct().count();
+    double part = Math.max(1 - ABROAD_UNDER * here * zones / all,
+        Math.min(0.5, (pools.get(Role.WRITE).wait(now) - FREE_WAIT) / ABROAD_WAIT));
+    return here < all && Hash.part(r.in.session() + 3, 0) < part;
+  }
+
   /** Whether a cell has readers enough for this req; else a cell reads it that has more than it needs. */
   private boolean readNear(Req r, Server wr) {
     Cell c = cells.get(wr.line.cell());
