--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -55,7 +55,6 @@
   private static final double MOST_LOAD = 1.3;
   private static final double LEAST_WAIT = 0.8;              // parts of the response target
   private static final double MOST_WAIT = 1.5;
-  private static final double LEAST_ALLOWED = 4;             // reqs
   private static final int ASKED = 2;                        // writers, and a reader for each
   private static final double ASK_FAR = 0.2;                 // how often writers of all zones are asked
   private static final Duration ASK_WAIT = Duration.ofMillis(30);
@@ -85,13 +84,9 @@
     chance = new SplittableRandom(seed);
     askAgain = settings.listOnRequest() ? Duration.ZERO : null;
     List.of(Role.values()).forEach(role -> pools.put(role, new Pool()));
-    allowance = settings.customers().stream().mapToDouble(c -> c.reqsPerSecond() / set.gateways())
-        .map(Rules::allowed).toArray();
+    allowance = new double[settings.customers().size()];
   }
 
-  /** How much of its share a customer may save up or overdraw at this gateway. */
-  private static double allowed(double rate) { return Math.max(LEAST_ALLOWED, 2 * rate); }
-
   /** Takes what has come in at one moment; the answer holds for that moment. */
   public List<Action> step(Duration time, List<Event> events) {
     now = time;
@@ -151,7 +146,7 @@
     beats++;
     for (int i = 0; i < allowance.length; i++) {
       double rate = set.customers().get(i).reqsPerSecond() / set.gateways();
-      allowance[i] = Math.max(-allowed(rate), Math.min(allowance[i] + rate * seconds(BEAT), allowed(rate)));
+      allowance[i] = Math.max(0, Math.min(allowance[i] + rate * seconds(BEAT), Math.max(1, 2 * rate)));
     }
     if (beats % (BEATS_TO_HALVE / 2) == 0) {
       lateness.halve();
