--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -53,8 +53,8 @@
   private static final double TIGHT = 0.25;                  // of a writer's memory
   private static final double LEAST_LOAD = 1.0;
   private static final double MOST_LOAD = 1.3;
-  private static final double LEAST_WAIT = 0.4;              // parts of the response target
-  private static final double MOST_WAIT = 0.9;
+  private static final double LEAST_WAIT = 0.8;              // parts of the response target
+  private static final double MOST_WAIT = 1.5;
   private static final int ASKED = 2;                        // writers, and a reader for each
   private static final double ASK_FAR = 0.2;                 // how often writers of all zones are asked
   private static final Duration ASK_WAIT = Duration.ofMillis(30);
