--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -30,6 +30,7 @@
   private static final double ROOM_HOME = 0.30;              // for a writer away from the session's home
   private static final double ROOM_CHANCE = 0.15;
   private static final double STAY = 0.75;                   // times a cell's part of the readers it needs
+  private static final double SLOWEST_MOVE = 1.6;            // seconds; states that take so long are not moved
   private static final double LENT_FAR = 0.2;                // weight of another zone's lenders
   private static final double ABROAD_UNDER = 1.1;            // times a zone's part of the writers
   private static final double FREE_WAIT = 0.2;               // seconds
@@ -70,6 +71,7 @@
   private final Mail mail = new Mail();                       // servers' first: choices see what was sent
   private final Map<Role, Pool> pools = new EnumMap<>(Role.class);
   private final Map<Integer, Cell> cells = new TreeMap<>();
+  private final Waits moves = new Waits(FIRST_WAIT);          // of states that left their cell
   private final Tally lateness = new Tally(2);                // begun in time, begun late or failed
   private final double[] allowance;                           // reqs within each customer's share, saved up
   private List<Action> out = new ArrayList<>();
@@ -151,6 +153,9 @@
     if (beats % (BEATS_TO_HALVE / 2) == 0) {
       lateness.halve();
     }
+    if (beats % BEATS_TO_HALVE == 0) {
+      moves.halve();
+    }
     pools.forEach((role, p) -> p.beat(beats % BEATS_TO_HALVE == 0,
         (int) servers.values().stream().filter(s -> s.role() == role && s.ready() && !s.cold()).count()));
     servers.values().forEach(s -> mail.post(s, new Note.Beat(beats % BEATS_TO_HALVE == 0)));
@@ -463,11 +468,14 @@
      */
     private void judge(boolean well, Try t, Duration took) {
       went.add(well ? 0 : 1, 1);
-      pool().waits.add(pool().excess(t, took));
-      pool().waits.halveOver(WAITS_KEPT);
+      Waits seen = t.moved ? moves : pool().waits;
+      seen.add(pool().excess(t, took));
+      seen.halveOver(WAITS_KEPT);
       if (well) {
         pool().worked += cold() ? 0 : 1;
-        waits.add(pool().excess(t, took));
+        if (!t.moved) {
+          waits.add(pool().excess(t, took));
+        }
         pool().pace.add((int) Math.floor(Math.log(seconds(took) * 1e6 / (500 + t.toRead)) / Math.log(2)), 1);
         if (aside) {
           gap = gap.dividedBy(2);
@@ -642,6 +650,7 @@
     Try t = new Try(r, s, r.tries.size(), read, weight, now);
     t.believed = s.believed(r.in);
     t.local = !read && r.stateAt == null;
+    t.moved = !read && !t.local && r.stateAt.line.cell() != s.line.cell();
     t.toRead = read || t.local ? r.in.prompt() - t.believed : 0;
     r.tries.add(t);
     r.running++;
@@ -754,7 +763,12 @@
       Server rd = null;
       if (remote || !companion.readsItself()) {
         Event.Line to = companion.line;
-        rd = readNear(this, companion) ? null : reader(this, s -> lends(s, to.zone()));
+        boolean near = readNear(this, companion);
+        if (!near && companion.readsItself() && chance.nextDouble() * SLOWEST_MOVE < moves.typical()) {
+          send(this, companion, false, patience(companion, uncached));
+          return;
+        }
+        rd = near ? null : reader(this, s -> lends(s, to.zone()));
         rd = rd != null ? rd : reader(this, s -> s.line.cell() == to.cell() ? 1 : 0);
         rd = rd != null ? rd : reader(this, s -> s.line.zone() == to.zone() ? 1 : 0);
         rd = rd != null ? rd : reader(this, s -> 1);
--- a/src/main/java/gapproxy/Try.java
+++ b/src/main/java/gapproxy/Try.java
@@ -13,7 +13,7 @@
   final double weight;                                        // tokens that it holds at a writer
   final Duration sentAt;
   double believed, toRead, unread;
-  boolean local, resent;
+  boolean local, moved, resent;
   Outcome how;
 
   Try(Rules.Req req, Rules.Server at, int number, boolean read, double weight, Duration sentAt) {
