--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -30,7 +30,6 @@
   private static final double ROOM_HOME = 0.30;              // for a writer away from the session's home
   private static final double ROOM_CHANCE = 0.15;
   private static final double STAY = 0.75;                   // times a cell's part of the readers it needs
-  private static final double SLOWEST_MOVE = 1.6;            // seconds; states that take so long are not moved
   private static final double LENT_FAR = 0.2;                // weight of another zone's lenders
   private static final double ABROAD_UNDER = 1.1;            // times a zone's part of the writers
   private static final double FREE_WAIT = 0.2;               // seconds
@@ -763,12 +762,7 @@
       Server rd = null;
       if (remote || !companion.readsItself()) {
         Event.Line to = companion.line;
-        boolean near = readNear(this, companion);
-        if (!near && companion.readsItself() && chance.nextDouble() * SLOWEST_MOVE < moves.typical()) {
-          send(this, companion, false, patience(companion, uncached));
-          return;
-        }
-        rd = near ? null : reader(this, s -> lends(s, to.zone()));
+        rd = readNear(this, companion) ? null : reader(this, s -> lends(s, to.zone()));
         rd = rd != null ? rd : reader(this, s -> s.line.cell() == to.cell() ? 1 : 0);
         rd = rd != null ? rd : reader(this, s -> s.line.zone() == to.zone() ? 1 : 0);
         rd = rd != null ? rd : reader(this, s -> 1);
@@ -864,7 +858,8 @@
      * any work is done, what earns least first. It could harm where one slow server makes the rest look late.
      */
     private boolean tooLate(Server rd, Server wr) {
-      double wait = (rd == null ? 0 : rd.delay()) + wr.delay();
+      double move = rd == null || rd.line.cell() == wr.line.cell() ? 0 : moves.typical();
+      double wait = (rd == null ? 0 : rd.delay()) + move + wr.delay();
       return tries.isEmpty() && !wr.aside && (rd == null || !rd.aside)
           && (wr.load(averageLoad()) > LEAST_LOAD + (MOST_LOAD - LEAST_LOAD) * rank
               || wait > seconds(target()) * (LEAST_WAIT + (MOST_WAIT - LEAST_WAIT) * rank));
