Tests for many gateways with little traffic; fewer lent reads while moves wait is dropped

Tests: home cell, lending, own load among 150, reports on demand, cold budget over 100 gateways, resets, clients that leave early.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -606,7 +606,7 @@
   /** Whether a cell has readers enough for this req; else a cell reads it that has more than it needs. */
   private boolean readNear(Req r, Server wr) {
     Cell c = cells.get(wr.line.cell());
-    return c == null || Hash.part(r.in.session() + 1, 0) * c.writers * readersAWriter() < STAY * (1 + moves.typical()) * c.readers;
+    return c == null || Hash.part(r.in.session() + 1, 0) * c.writers * readersAWriter() < STAY * c.readers;
   }
 
   /** How much of the lent reads a reader takes: what its cell has beyond its own need. */
--- a/src/test/java/gapproxy/RulesTest.java
+++ b/src/test/java/gapproxy/RulesTest.java
@@ -9,6 +9,7 @@
 import gapproxy.api.Action;
 import gapproxy.api.Event;
 import gapproxy.api.Event.Outcome;
+import gapproxy.api.Settings;
 import gapproxy.api.Settings.Role;
 import java.time.Duration;
 import java.util.List;
@@ -178,6 +179,117 @@
     assertTrue(readers.stream().distinct().count() <= 2, readers.toString());
   }
 
+  // ---- many gateways with little traffic each
+
+  private static World grown(int gateways, long seed, Settings.Source source, int cells) {
+    World w = new World(World.grown(World.plain(), gateways, source), seed);
+    w.cellsAZone = cells;
+    w.start(cells, 4);
+    return w;
+  }
+
+  @Test
+  void oneStreamAmongManyGatewaysIsNoFullWriter() {
+    World w = grown(150, 1, Settings.Source.NONE, 1);
+    for (int i = 0; i < 40; i++) {
+      Job j = w.accept(0, 1 + i, 0, 6000, 0, BUDGET);
+      assertTrue(j.forwards.size() > 0, "pushed back beside " + i + " reqs in ten seconds");
+      w.end(run(w, j), Outcome.DONE, 0);
+      w.now = w.now.plus(World.ms(200));
+    }
+  }
+
+  @Test
+  void gatewaysAgreeOnASessionsHomeWithoutATalk() {
+    for (long session = 1; session < 30; session++) {
+      List<Integer> cells = new java.util.ArrayList<>();
+      for (long seed = 1; seed < 12; seed++) {
+        World w = grown(150, seed, Settings.Source.NONE, 4);
+        cells.add(w.list.get(run(w, w.accept(0, session, 0, 3000, 0, BUDGET)).server).cell());
+      }
+      assertEquals(1, cells.stream().distinct().count(), "session " + session + " at " + cells);
+    }
+  }
+
+  @Test
+  void aCellShortOfReadersLendsSomeReads() {
+    World w = grown(150, 1, Settings.Source.NONE, 2);
+    w.tell(w.line(2, 1, 0, Event.State.READY, null));         // its second reader becomes a writer
+    w.tell(w.line(3, 1, 0, Event.State.READY, null));
+    w.tell(w.line(101, 0, 1, Event.State.READY, null));
+    w.now = w.now.plus(World.ms(200));
+    int near = 0;
+    int lent = 0;
+    for (int i = 0; i < 200; i++) {
+      Job j = w.accept(0, 100 + i, 0, 4000, 0, BUDGET);
+      int from = w.list.get(j.forwards.get(0).server).cell();
+      Fwd wr = run(w, j);
+      near += w.list.get(wr.server).cell() == 0 && from == 0 ? 1 : 0;
+      lent += w.list.get(wr.server).cell() == 0 && from == 1 ? 1 : 0;
+      assertTrue(w.list.get(wr.server).cell() == 0 || from == 1, "a cell with readers to spare borrowed one");
+      w.end(wr, Outcome.DONE, 0);
+    }
+    assertTrue(near > 10 && lent > 10, near + " near, " + lent + " lent");
+  }
+
+  @Test
+  void reportsAreAskedForWhenAReqNeedsThem() {
+    World w = grown(150, 1, Settings.Source.BY_PROBE, 4);
+    for (int i = 0; i < 30; i++) {
+      w.now = w.now.plus(World.ms(100));
+      w.step(new Event.Wake(0));
+      assertTrue(w.last.stream().noneMatch(a -> a instanceof Action.Probe), "probed with nothing to send");
+    }
+    Job j = w.accept(0, 1, 0, 4000, 0, BUDGET);
+    List<Long> asked = w.last.stream().filter(a -> a instanceof Action.Probe).map(a -> ((Action.Probe) a).server())
+        .toList();
+    assertTrue(j.forwards.isEmpty() && !asked.isEmpty() && asked.size() <= 4, "asked " + asked);
+    asked.forEach(s -> w.step(new Event.Probed(s, Outcome.DONE, World.ms(1), new double[] {0, 0, 0.1, 0})));
+    assertEquals(1, j.forwards.size());
+    w.now = w.now.plus(World.ms(1000));
+    Job unanswered = w.accept(0, 2, 0, 4000, 0, BUDGET);
+    w.now = w.now.plus(World.ms(40));
+    w.step(new Event.Wake(0));
+    assertEquals(1, unanswered.forwards.size());
+  }
+
+  @Test
+  void manyGatewaysDoNotAllSendTheirOneReqToAColdServer() {
+    int cold = 0;
+    for (long seed = 1; seed <= 100; seed++) {
+      World w = grown(100, seed, Settings.Source.NONE, 1);
+      w.end(run(w, w.accept(0, 1, 0, 4000, 0, BUDGET)), Outcome.DONE, 0);
+      w.tell(w.line(1, 0, 0, Event.State.READY, w.now));
+      for (int i = 0; i < 8; i++) {
+        w.now = w.now.plus(World.ms(200));
+        Job j = w.accept(0, 10 + i, 0, 4000, 0, BUDGET);
+        cold += j.forwards.get(0).server == 1 ? 1 : 0;
+        w.end(run(w, j), Outcome.DONE, 0);
+      }
+    }
+    assertTrue(cold > 0 && cold < 90, cold + " reqs in two seconds");
+  }
+
+  @Test
+  void aWritingThatWasResetGoesAgainToTheSameWriter() {
+    World w = ready();
+    Job j = w.accept(0, 1, 0, 4000, 0, BUDGET);
+    w.end(j.forwards.get(0), Outcome.READ, 0);
+    w.end(j.forwards.get(1), Outcome.BROKEN, 0);
+    assertEquals(j.forwards.get(1).server, j.forwards.get(2).server);
+  }
+
+  @Test
+  void aClientThatLeavesBeforeAnyAnswerCanBeginIsPushedBackAtOnce() {
+    World w = ready();
+    for (int i = 0; i < 6; i++) {
+      w.end(run(w, w.accept(0, 1 + i, 0, 4000, 0, BUDGET)), Outcome.DONE, 0);
+    }
+    Job j = w.accept(0, 50, 0, 4000, 0, World.ms(20));
+    assertTrue(j.ended && j.forwards.isEmpty());
+    assertTrue(w.accept(0, 51, 0, 4000, 0, World.ms(500)).forwards.size() > 0);
+  }
+
   // ---- failures found
 
   @Test
--- a/src/test/java/gapproxy/World.java
+++ b/src/test/java/gapproxy/World.java
@@ -58,6 +58,7 @@
   final List<Action> last = new ArrayList<>();
   final List<Duration> alarms = new ArrayList<>();
   Duration now = Duration.ZERO;
+  int cellsAZone = 1;
   long nextReq = 1;
   long mostSeen;
 
@@ -105,8 +106,15 @@
         true, false, false, Settings.Source.NONE, true, true, 0);
   }
 
+  /** The same among more gateways, and with reports from that source. */
+  static Settings grown(Settings s, int gateways, Settings.Source source) {
+    return new Settings(gateways, s.zone(), s.tick(), s.groups(), s.customers(), s.overShareWorth(), s.kinds(),
+        s.writersRead(), s.holdAhead(), s.releaseWithin(), s.drainGrace(), s.cold(), s.listOnRequest(),
+        s.askListWithin(), new Settings.Reports(source, 0, 1, -1, 2, 3), s.limits());
+  }
+
   Event.Line line(long id, int kind, int cell, Event.State state, Duration up) {
-    return new Event.Line(id, cell, kind, cell, state, 1, up);
+    return new Event.Line(id, cell / cellsAZone, kind, cell, state, 1, up);
   }
 
   /** Tells the gateway of servers: ids from 1, kinds in turn, so many in each of the cells. */
