--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -1,7 +1,6 @@
 package gapproxy;
 
-import static gapproxy.Spans.least;
-import static gapproxy.Spans.seconds;
+import static gapproxy.Spans.*;
 
 import gapproxy.api.*;
 import gapproxy.api.Event.Outcome;
@@ -14,8 +13,8 @@
 /**
  * All decisions of one gateway. Its owner calls {@link #step} with the time since the start and what came in,
  * and carries out the actions it returns, in order; nothing else goes in or out. The types of both stand in
- * gapproxy.api. The design (docs/design.md) decides the ordinary path: {@link Req#plan}. Beside it stand six
- * mechanisms: 1 health (set aside, waits), 2 time-outs with further forwards, 3 cold budget, 4 overload
+ * gapproxy.api. The design (docs/design.md) decides the ordinary path, {@link Req#plan}, with the departures
+ * named there: home cells, lent reads, sessions at home in another zone. Beside it stand six mechanisms: 1 health (set aside, waits), 2 time-outs with further forwards, 3 cold budget, 4 overload
  * pushback, 5 kept-text trust, 6 probing.
  */
 public final class Rules {
@@ -51,10 +50,8 @@
   private static final int WAITS_KEPT = 12;
   private static final double LATE_SHARE = 0.35;
   private static final double TIGHT = 0.25;                  // of a writer's memory
-  private static final double LEAST_LOAD = 1.0;
-  private static final double MOST_LOAD = 1.3;
-  private static final double LEAST_WAIT = 0.8;              // parts of the response target
-  private static final double MOST_WAIT = 1.5;
+  private static final double LEAST_LOAD = 1.0, MOST_LOAD = 1.3;
+  private static final double LEAST_WAIT = 0.8, MOST_WAIT = 1.5; // parts of the response target
   private static final int ASKED = 2;                        // writers, and a reader for each
   private static final double ASK_FAR = 0.2;                 // how often writers of all zones are asked
   private static final Duration ASK_WAIT = Duration.ofMillis(30);
@@ -69,7 +66,7 @@
   private final List<Req> asking = new ArrayList<>();         // reqs that wait for reports
   private final Mail mail = new Mail();                       // servers' first: choices see what was sent
   private final Map<Role, Pool> pools = new EnumMap<>(Role.class);
-  private final Map<Integer, Cell> cells = new TreeMap<>();
+  private final Cells cells = new Cells();                    // without the servers set aside
   private final Waits moves = new Waits(FIRST_WAIT);          // of states that left their cell
   private final Tally lateness = new Tally(2);                // begun in time, begun late or failed
   private final double[] allowance;                           // reqs within each customer's share, saved up
@@ -101,8 +98,6 @@
     return out;
   }
 
-  // ---- mail
-
   private void deliver(Event e) {
     if (e instanceof Event.Accept a) {
       Req r = new Req(a);
@@ -124,15 +119,13 @@
       askAgain = set.listOnRequest() ? now.plus(set.askListWithin().dividedBy(8)) : null;
       return;
     }
-    Set<Long> named = new HashSet<>();
     for (Event.Line line : l.lines()) {
-      named.add(line.server());
       if (line.kind() < set.kinds().size()) {
         mail.post(servers.computeIfAbsent(line.server(), id -> new Server(id, line)), line);
       }
     }
     if (l.form() != Event.ListForm.CHANGES) {
-      servers.values().stream().filter(s -> !named.contains(s.id))
+      servers.values().stream().filter(s -> l.lines().stream().noneMatch(line -> line.server() == s.id))
           .forEach(s -> mail.post(s, new Note.Removed()));
     }
   }
@@ -151,14 +144,12 @@
     }
     if (beats % (BEATS_TO_HALVE / 2) == 0) {
       lateness.halve();
-    }
-    if (beats % BEATS_TO_HALVE == 0) {
       moves.halve();
     }
     pools.forEach((role, p) -> p.beat(beats % BEATS_TO_HALVE == 0,
         (int) servers.values().stream().filter(s -> s.role() == role && s.ready() && !s.cold()).count()));
     servers.values().forEach(s -> mail.post(s, new Note.Beat(beats % BEATS_TO_HALVE == 0)));
-    countCells();
+    cells.count(servers.values().stream().filter(s -> s.ready() && !s.aside).toList(), Server::strength);
   }
 
   // ---- what is measured
@@ -186,11 +177,7 @@
 
     /** How long forwards wait here: what was seen lately, and what already waits longer. */
     double wait(Duration now) {
-      double seen = waits.typical();
-      Waits all = waits.copy();
-      unbegun.stream().mapToDouble(t -> excess(t, now.minus(t.sentAt))).filter(w -> w > seen)
-          .forEach(all::add);
-      return all.typical();
+      return waits.typicalWith(unbegun.stream().mapToDouble(t -> excess(t, now.minus(t.sentAt))));
     }
 
     /** What a forward took beyond the reading that it asked for. */
@@ -202,44 +189,11 @@
     double rate() { return worked / (seconds(BEAT) / 0.05) / Math.max(1, warm); }
   }
 
-  /** What a cell has of both roles, by the list. */
-  private static final class Cell {
-    int zone;
-    double readers, writers;
-  }
-
-  private void countCells() {
-    cells.clear();
-    for (Server s : servers.values()) {
-      Cell c = cells.computeIfAbsent(s.line.cell(), id -> new Cell());
-      c.zone = s.line.zone();
-      double size = s.ready() && !s.aside ? s.line.size() * s.strength() : 0;
-      c.readers += s.reader() ? size : 0;
-      c.writers += s.writer() ? size : 0;
-    }
-  }
-
-  /** Readers that all the fleet has for each writer. */
-  private double readersAWriter() {
-    return cells.values().stream().mapToDouble(c -> c.readers).sum()
-        / Math.max(1e-9, cells.values().stream().mapToDouble(c -> c.writers).sum());
-  }
-
-  private record Kept(double tokens, Duration at) {}
-
   /** One model server as this gateway sees it. */
-  final class Server extends Mail.Actor {
-    final long id;
-    final Map<Long, Kept> kept = new HashMap<>();
-    final Deque<Kept> recent = new ArrayDeque<>();            // tokens sent lately, for the reports' lag
+  final class Server extends Box {
     final Tally went = new Tally(2);                          // well, badly
     Waits waits = new Waits(FIRST_WAIT);                      // till the first token or the end of the read
     final Set<Try> unbegun = new LinkedHashSet<>();
-    Event.Line line;
-    boolean listed = true;
-    int reads, open;
-    double held, unread;                                      // own forwards' tokens; those to be read here
-    double[] report;
     final List<Req> askers = new ArrayList<>();
     Duration heardAt, fullAt, askedAt;
     Duration nextProbe = Duration.ZERO, creditAt = now;
@@ -250,35 +204,16 @@
     Duration nextTrickle = Duration.ZERO;
 
     Server(long id, Event.Line line) {
-      super(true);
-      this.id = id;
-      this.line = line;
+      super(set, id, line);
     }
 
-    Role role() { return kind().role(); }
-
     Pool pool() { return pools.get(role()); }
 
-    boolean reader() { return role() != Role.WRITE; }
-
-    boolean writer() { return role() != Role.READ; }
-
-    boolean readsItself() { return role() == Role.BOTH || set.writersRead(); }
-
-    Settings.ServerKind kind() { return set.kinds().get(line.kind()); }
-
-    double memory() { return kind().memoryTokens() > 0 ? kind().memoryTokens() : Double.MAX_VALUE; }
-
-    boolean ready() { return listed && line.state() == Event.State.READY; }
-
-    boolean cold() {
-      return line.upSince() != null && now.minus(line.upSince()).compareTo(set.cold().warmWithin()) < 0;
-    }
+    boolean cold() { return warmFor(now).compareTo(set.cold().warmWithin()) < 0; }
 
     /** The part of its work that it can do at least. */
     double strength() {
-      double age = cold() ? Math.max(0, seconds(now.minus(line.upSince()))) : 1e9;
-      double grown = Math.min(1, age / seconds(set.cold().warmWithin()));
+      double grown = Math.max(0, Math.min(1, seconds(warmFor(now)) / seconds(set.cold().warmWithin())));
       return set.cold().leastCapacity() + (1 - set.cold().leastCapacity()) * grown;
     }
 
@@ -316,8 +251,6 @@
 
     boolean heard(Duration within) { return report != null && now.minus(heardAt).compareTo(within) < 0; }
 
-    double reported(int column) { return column >= 0 && column < report.length ? report[column] : 0; }
-
     /** What own streams hold here and, for each other gateway, what own streams hold on average. */
     double ownLoad() { return held / memory() + (set.gateways() - 1) * pool().heldEach; }
 
@@ -340,13 +273,9 @@
     }
 
     double believed(Event.Accept a) {
+      Duration since = now.minus(KEPT_FOR);
       return writer() && taken() > TIGHT ? 0
-          : Math.max(found(a.session(), a.prompt()), found(a.shared(), a.sharedPart()));
-    }
-
-    private double found(long key, double most) {
-      Kept k = kept.get(key);
-      return k == null || now.minus(k.at).compareTo(KEPT_FOR) > 0 ? 0 : Math.min(most, k.tokens);
+          : Math.max(kept(a.session(), a.prompt(), since), kept(a.shared(), a.sharedPart(), since));
     }
 
     @Override
@@ -379,7 +308,7 @@
       } else if (note instanceof Note.Heard h && h.report().length > 0) {
         report = h.report();
         heardAt = now;
-        recent.removeIf(k -> k.at.compareTo(now.minus(REPORT_LAG)) < 0);
+        recent.removeIf(k -> k.at().compareTo(now.minus(REPORT_LAG)) < 0);
       } else if (note instanceof Note.Asked a) {
         if (askedAt == null || now.minus(askedAt).compareTo(ASK_AGAIN) >= 0) {
           out.add(new Action.Probe(id));
@@ -456,7 +385,7 @@
      */
     private void trust(Try t, double foundKept) {
       if (t.local && t.believed > 300 && foundKept < t.believed / 2) {
-        kept.values().removeIf(k -> k.at.compareTo(t.sentAt) < 0);
+        kept.values().removeIf(k -> k.at().compareTo(t.sentAt) < 0);
       }
     }
 
@@ -467,9 +396,7 @@
      */
     private void judge(boolean well, Try t, Duration took) {
       went.add(well ? 0 : 1, 1);
-      Waits seen = t.moved ? moves : pool().waits;
-      seen.add(pool().excess(t, took));
-      seen.halveOver(WAITS_KEPT);
+      (t.moved ? moves : pool().waits).add(pool().excess(t, took), WAITS_KEPT);
       if (well) {
         pool().worked += cold() ? 0 : 1;
         if (!t.moved) {
@@ -516,7 +443,7 @@
       }
       if (halve) {
         went.halve();
-        kept.values().removeIf(k -> now.minus(k.at).compareTo(KEPT_FOR) > 0);
+        kept.values().removeIf(k -> now.minus(k.at()).compareTo(KEPT_FOR) > 0);
       }
     }
   }
@@ -584,7 +511,7 @@
    */
   private Integer home(Req r) {
     boolean abroad = abroad(r);
-    return r.in.session() == 0 ? null : cells.keySet().stream()
+    return r.in.session() == 0 ? null : cells.all().keySet().stream()
         .filter(c -> cells.get(c).zone == set.zone() != abroad && cells.get(c).writers > 0)
         .max(Comparator.comparingDouble(c -> Math.log(Hash.part(r.in.session(), c)) / cells.get(c).writers))
         .orElse(null);
@@ -595,9 +522,9 @@
    * at home in another zone: a part that grows with the wait, so that gateways do not leave together.
    */
   private boolean abroad(Req r) {
-    double all = cells.values().stream().mapToDouble(c -> c.writers).sum();
-    double here = cells.values().stream().mapToDouble(c -> c.zone == set.zone() ? c.writers : 0).sum();
-    long zones = cells.values().stream().map(c -> c.zone).distinct().count();
+    double all = cells.all().values().stream().mapToDouble(c -> c.writers).sum();
+    double here = cells.all().values().stream().mapToDouble(c -> c.zone == set.zone() ? c.writers : 0).sum();
+    long zones = cells.all().values().stream().map(c -> c.zone).distinct().count();
     double part = Math.max(1 - ABROAD_UNDER * here * zones / all,
         Math.min(0.5, (pools.get(Role.WRITE).wait(now) - FREE_WAIT) / ABROAD_WAIT));
     return here < all && Hash.part(r.in.session() + 3, 0) < part;
@@ -605,14 +532,14 @@
 
   /** Whether a cell has readers enough for this req; else a cell reads it that has more than it needs. */
   private boolean readNear(Req r, Server wr) {
-    Cell c = cells.get(wr.line.cell());
-    return c == null || Hash.part(r.in.session() + 1, 0) * c.writers * readersAWriter() < STAY * c.readers;
+    Cells.Cell c = cells.get(wr.line.cell());
+    return Hash.part(r.in.session() + 1, 0) * c.writers * cells.readersAWriter() < STAY * c.readers;
   }
 
   /** How much of the lent reads a reader takes: what its cell has beyond its own need. */
   private double lends(Server s, int zone) {
-    Cell c = cells.get(s.line.cell());
-    double over = c == null || c.readers <= 0 ? 0 : 1 - c.writers * readersAWriter() / c.readers;
+    Cells.Cell c = cells.get(s.line.cell());
+    double over = c.readers <= 0 ? 0 : 1 - c.writers * cells.readersAWriter() / c.readers;
     return Math.max(0, over) * (s.line.zone() == zone ? 1 : LENT_FAR);
   }
 
@@ -644,7 +571,6 @@
     if (!open(r, s)) {
       throw new IllegalStateException("a send past the gate");
     }
-    Duration most = r.left().minus(set.tick());
     double weight = r.in.prompt() + Math.min(200, r.in.maxAnswer() / 2);
     Try t = new Try(r, s, r.tries.size(), read, weight, now);
     t.believed = s.believed(r.in);
@@ -653,7 +579,7 @@
     t.toRead = read || t.local ? r.in.prompt() - t.believed : 0;
     r.tries.add(t);
     r.running++;
-    out.add(new Action.Forward(r.in.req(), s.id, least(timeOut, most)));
+    out.add(new Action.Forward(r.in.req(), s.id, least(timeOut, r.left().minus(set.tick()))));
     mail.post(s, new Note.Sent(t));
   }
 
@@ -703,7 +629,8 @@
         Try t = tries.get(f.forward());
         lateness.add(now.minus(taken).compareTo(target()) <= 0 ? 0 : 1, 1);
         mail.post(t.at, new Note.Begun(t, f.took()));
-      } else if (note instanceof Event.Ended e && e.forward() < tries.size()) {
+      } else if (note instanceof Event.Ended e && e.forward() < tries.size()
+          && tries.get(e.forward()).how == null) {
         ended(tries.get(e.forward()), e);
       } else if (note instanceof Event.HungUp && !closed) {
         closed = true;
@@ -809,9 +736,6 @@
     }
 
     private void ended(Try t, Event.Ended e) {
-      if (t.how != null) {
-        return;
-      }
       t.how = e.outcome();
       running--;
       mail.post(t.at, new Note.Over(t, e));
@@ -895,11 +819,8 @@
 
     /** Ends what still runs for this req and lets go of what is held for it. */
     private void letGo() {
-      for (Try t : tries) {
-        if (t.how == null && closed && !begun && set.limits().cancel()) {
-          out.add(new Action.Cancel(in.req(), t.number));
-        }
-      }
+      tries.stream().filter(t -> t.how == null && closed && !begun && set.limits().cancel())
+          .forEach(t -> out.add(new Action.Cancel(in.req(), t.number)));
       if (!tries.isEmpty()) {
         out.add(new Action.Drop(in.req()));
       }
--- a/src/main/java/gapproxy/Waits.java
+++ b/src/main/java/gapproxy/Waits.java
@@ -1,5 +1,7 @@
 package gapproxy;
 
+import java.util.stream.DoubleStream;
+
 /** A histogram of spans, in seconds: each bin goes to twice the edge of the one before. */
 final class Waits {
   private static final int BINS = 8;
@@ -10,10 +12,13 @@
     this.first = first;
   }
 
-  Waits copy() {
-    Waits w = new Waits(first);
-    w.tally = tally.copy();
-    return w;
+  /** The typical one, with those counted too that are longer already. */
+  double typicalWith(DoubleStream others) {
+    double seen = typical();
+    Waits all = new Waits(first);
+    all.tally = tally.copy();
+    others.filter(w -> w > seen).forEach(all::add);
+    return all.typical();
   }
 
   void add(double seconds) {
@@ -24,7 +29,9 @@
     tally.halve();
   }
 
-  void halveOver(double most) {
+  /** Adds and, past so many, halves. */
+  void add(double seconds, double most) {
+    add(seconds);
     if (tally.sum() > most) {
       tally.halve();
     }
