--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -14,7 +14,8 @@
  * All decisions of one gateway. Its owner calls {@link #step} with the time since the start and what came in,
  * and carries out the actions it returns, in order; nothing else goes in or out. The types of both stand in
  * gapproxy.api. The design (docs/design.md) decides the ordinary path, {@link Req#plan}, with the departures
- * named there: home cells, lent reads, sessions at home in another zone. Beside it stand six mechanisms: 1 health (set aside, waits), 2 time-outs with further forwards, 3 cold budget, 4 overload
+ * named there: home cells, lent reads, sessions at home in another zone. Beside it stand six mechanisms: 1 health
+ * (set aside, waits), 2 time-outs with further forwards, 3 cold budget, 4 overload
  * pushback, 5 kept-text trust, 6 probing.
  */
 public final class Rules {
