--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -32,6 +32,7 @@
   private static final double STAY = 0.75;                   // times a cell's part of the readers it needs
   private static final double LENT_FAR = 0.2;                // weight of another zone's lenders
   private static final double ABROAD_UNDER = 1.1;            // times a zone's part of the writers
+  private static final double PRESSED_WAIT = 0.35;           // seconds past the first bin
   private static final double FREE_WAIT = 0.2;               // seconds
   private static final double ABROAD_WAIT = 4;               // seconds more at which all would leave
   // The mechanisms' figures.
@@ -526,15 +527,21 @@
     double all = cells.all().values().stream().mapToDouble(c -> c.writers).sum();
     double here = cells.all().values().stream().mapToDouble(c -> c.zone == set.zone() ? c.writers : 0).sum();
     long zones = cells.all().values().stream().map(c -> c.zone).distinct().count();
-    double part = Math.max(1 - ABROAD_UNDER * here * zones / all,
+    double part = Math.max(pressed(Role.WRITE) - ABROAD_UNDER * here * zones / all,
         Math.min(0.5, (pools.get(Role.WRITE).wait(now) - FREE_WAIT) / ABROAD_WAIT));
     return here < all && Hash.part(r.in.session() + 3, 0) < part;
   }
 
+  /** 0 while forwards of a role are seen to begin at once, up to 1: departures act only as far as reqs wait. */
+  private double pressed(Role role) {
+    return Math.max(0, Math.min(1, (pools.get(role).wait(now) - FIRST_WAIT) / PRESSED_WAIT));
+  }
+
   /** Whether a cell has readers enough for this req; else a cell reads it that has more than it needs. */
   private boolean readNear(Req r, Server wr) {
     Cells.Cell c = cells.get(wr.line.cell());
-    return Hash.part(r.in.session() + 1, 0) * c.writers * cells.readersAWriter() < STAY * c.readers;
+    return Hash.part(r.in.session() + 1, 0) * c.writers * cells.readersAWriter() * pressed(Role.READ)
+        < STAY * c.readers;
   }
 
   /** How much of the lent reads a reader takes: what its cell has beyond its own need. */
