--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -32,7 +32,7 @@
   private static final double STAY = 0.75;                   // times a cell's part of the readers it needs
   private static final double LENT_FAR = 0.2;                // weight of another zone's lenders
   private static final double ABROAD_UNDER = 1.1;            // times a zone's part of the writers
-  private static final double PRESSED_WAIT = 0.15;           // seconds past the first bin
+  private static final double PRESSED_WAIT = 0.35;           // seconds past the first bin
   private static final double FREE_WAIT = 0.2;               // seconds
   private static final double ABROAD_WAIT = 4;               // seconds more at which all would leave
   // The mechanisms' figures.
