--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -244,8 +244,7 @@
      * silent, whatever the cause and without any report: what waits longest counts before its outcome is in.
      */
     double delay() {
-      boolean idle = heard() && set.reports().waiting() >= 0 && reported(set.reports().waiting()) < 1;
-      double seen = waits.sum() >= 0.5 ? waits.typical() : idle ? 0 : pool().wait(now);
+      double seen = waits.sum() < 0.5 ? pool().wait(now) : waits.typical();
       Try first = unbegun.isEmpty() ? null : unbegun.iterator().next();
       return first == null ? seen : Math.max(seen, pool().excess(first, now.minus(first.sentAt)));
     }
