--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -14,9 +14,9 @@
  * All decisions of one gateway. Its owner calls {@link #step} with the time since the start and what came in,
  * and carries out the actions it returns, in order; nothing else goes in or out. The types of both stand in
  * gapproxy.api. The design (docs/design.md) decides the ordinary path, {@link Req#plan}, with the departures
- * named there: home cells, lent reads, sessions at home in another zone. Beside it stand six mechanisms: 1 health
- * (set aside, waits), 2 time-outs with further forwards, 3 cold budget, 4 overload
- * pushback, 5 kept-text trust, 6 probing.
+ * named there: home cells, lent reads, sessions at home in another zone. Beside it stand six mechanisms:
+ * 1 health (set aside, waits), 2 time-outs with further forwards, 3 cold budget, 4 overload pushback,
+ * 5 kept-text trust, 6 probing.
  */
 public final class Rules {
   // The design's figures.
@@ -33,15 +33,12 @@
   private static final double LENT_FAR = 0.2;                // weight of another zone's lenders
   private static final double ABROAD_UNDER = 1.1;            // times a zone's part of the writers
   private static final double PRESSED_WAIT = 0.35;           // seconds past the first bin
-  private static final double FREE_WAIT = 0.2;               // seconds
-  private static final double ABROAD_WAIT = 4;               // seconds more at which all would leave
+  private static final double FREE_WAIT = 0.2, ABROAD_WAIT = 4; // seconds; at so many more all would leave
   // The mechanisms' figures.
   private static final Duration BEAT = Duration.ofMillis(100);
-  private static final int BEATS_TO_HALVE = 40;
-  private static final int BEATS_TO_FORGET_WAITS = 10;
+  private static final int BEATS_TO_HALVE = 40, BEATS_TO_FORGET_WAITS = 10;
   private static final double HELD_STEP = 0.02;              // of the way to the new value, each beat
-  private static final double BAD_SHARE = 0.3;
-  private static final double BAD_LEAST = 1.5;
+  private static final double BAD_SHARE = 0.3, BAD_LEAST = 1.5;
   private static final Duration FIRST_TRICKLE = Duration.ofMillis(800);
   private static final Duration LAST_TRICKLE = Duration.ofMillis(80);
   private static final Duration LONGEST_TRICKLE = Duration.ofSeconds(3);
@@ -154,8 +151,6 @@
     cells.count(servers.values().stream().filter(s -> s.ready() && !s.aside).toList(), Server::strength);
   }
 
-  // ---- what is measured
-
   /** What the servers of one role do together. */
   private static final class Pool {
     final Tally pace = new Tally(12);
@@ -450,8 +445,6 @@
     }
   }
 
-  // ---- the fleet
-
   private double averageLoad() {
     return servers.values().stream().filter(s -> s.writer() && s.ready() && s.heard())
         .mapToDouble(s -> s.load(0)).average().orElse(-1);
@@ -532,7 +525,7 @@
     return here < all && Hash.part(r.in.session() + 3, 0) < part;
   }
 
-  /** 0 while forwards of a role are seen to begin at once, up to 1: departures act only as far as reqs wait. */
+  /** From 0, while a role's forwards begin at once, up to 1: departures act only as far as reqs wait. */
   private double pressed(Role role) {
     return Math.max(0, Math.min(1, (pools.get(role).wait(now) - FIRST_WAIT) / PRESSED_WAIT));
   }
@@ -540,8 +533,8 @@
   /** Whether a cell has readers enough for this req; else a cell reads it that has more than it needs. */
   private boolean readNear(Req r, Server wr) {
     Cells.Cell c = cells.get(wr.line.cell());
-    return Hash.part(r.in.session() + 1, 0) * c.writers * cells.readersAWriter() * pressed(Role.READ)
-        < STAY * c.readers;
+    double needed = c.writers * cells.readersAWriter() * pressed(Role.READ);
+    return Hash.part(r.in.session() + 1, 0) * needed < STAY * c.readers;
   }
 
   /** How much of the lent reads a reader takes: what its cell has beyond its own need. */
