--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -144,6 +144,7 @@
     if (beats % (BEATS_TO_HALVE / 2) == 0) {
       lateness.halve();
       moves.halve();
+      pools.values().forEach(p -> p.waits.halve());
     }
     pools.forEach((role, p) -> p.beat(beats % BEATS_TO_HALVE == 0,
         (int) servers.values().stream().filter(s -> s.role() == role && s.ready() && !s.cold()).count()));
