--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -788,8 +788,7 @@
       double wait = (rd == null ? 0 : rd.delay()) + move + wr.delay();
       return tries.isEmpty() && !wr.aside && (rd == null || !rd.aside)
           && (wr.load(averageLoad()) > LEAST_LOAD + (MOST_LOAD - LEAST_LOAD) * rank
-              || wait > seconds(target()) * (LEAST_WAIT + (MOST_WAIT - LEAST_WAIT) * rank)
-              && chance.nextDouble() > 0.2);
+              || wait > seconds(target()) * (LEAST_WAIT + (MOST_WAIT - LEAST_WAIT) * rank));
     }
 
     /**
