--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -240,7 +240,7 @@
      * silent, whatever the cause and without any report: what waits longest counts before its outcome is in.
      */
     double delay() {
-      double seen = waits.sum() < 0.1 ? pool().wait(now) : waits.typical();
+      double seen = waits.sum() < 0.5 ? pool().wait(now) : waits.typical();
       Try first = unbegun.isEmpty() ? null : unbegun.iterator().next();
       return first == null ? seen : Math.max(seen, pool().excess(first, now.minus(first.sentAt)));
     }
