--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -478,8 +478,8 @@
     return best(choice(r, s -> s.writer() && where.test(s)), s -> s.load(average) / s.strength()
         + (reading ? ROOM_PER_1000_UNCACHED * (r.in.prompt() - s.believed(r.in)) / 1000
             + ROOM_PER_READ_OUT * Math.min(20, readsOut(s)) : 0)
-        + (s.line.zone() != zone ? ROOM_OTHER_ZONE
-            : reading && home != null && s.line.cell() != home ? ROOM_HOME : 0)
+        + (s.line.zone() == zone ? 0 : ROOM_OTHER_ZONE)
+        + (reading && home != null && s.line.cell() != home ? ROOM_HOME : 0)
         + chance.nextDouble() * ROOM_CHANCE);
   }
 
