--- /dev/null
+++ b/src/main/java/gapproxy/audit/Audit.java
@@ -0,0 +1,302 @@
+package gapproxy.audit;
+
+import gapproxy.audit.Traffic.Answer;
+import gapproxy.audit.Traffic.Left;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Judges the five rules as the traffic goes by; {@link #finish} says what was found. */
+public final class Audit implements Traffic {
+  /**
+   * The rules' figures.
+   *
+   * @param slack time that a message may take on its way between two ends
+   * @param window how long the repeats of a keyed req are known
+   */
+  public record Figures(Duration drainGrace, Duration release, Duration window, Duration slack) {}
+
+  /** A rule that was broken, and by what. */
+  public record Broken(int rule, Duration at, String what) {}
+
+  private static final int MOST = 1000;                       // of each rule that are kept
+
+  private static final class Try {
+    final Duration asked;
+    final Duration due;
+    final String gateway;
+    final int life;
+    final String repeat;
+    Duration begun;
+    boolean over;
+
+    Try(Duration asked, Duration due, String gateway, int life, String repeat) {
+      this.asked = asked;
+      this.due = due;
+      this.gateway = gateway;
+      this.life = life;
+      this.repeat = repeat;
+    }
+  }
+
+  private static final class Hold {
+    final long engine;
+    final String req;
+    final String gateway;
+    Duration idle;                                            // since when none of the req's forwards is out
+
+    Hold(long engine, String req, String gateway, Duration idle) {
+      this.engine = engine;
+      this.req = req;
+      this.gateway = gateway;
+      this.idle = idle;
+    }
+  }
+
+  private record Ran(Duration at, String id, String key) {}
+
+  private final Figures figures;
+  private final Map<String, Try> tries = new LinkedHashMap<>();
+  private final Map<String, Integer> lives = new HashMap<>();
+  private final Set<String> up = new HashSet<>();
+  private final Map<String, Map<Long, Duration>> barred = new HashMap<>(); // by gateway: told not to use, since when
+  private final Map<String, Integer> out = new HashMap<>();   // forwards out by gateway's name of the req
+  private final Map<String, String> forwards = new HashMap<>(); // gateway by forward's id
+  private final Map<String, Hold> holds = new LinkedHashMap<>();
+  private final Map<String, List<Ran>> ran = new HashMap<>(); // by the client's mark
+  private final List<Broken> broken = new ArrayList<>();
+  private final int[] count = new int[6];
+  private final Map<String, Long> ends = new java.util.TreeMap<>();
+  private long taken;
+  private Duration longestHeld = Duration.ZERO;
+
+  public Audit(Figures figures) {
+    this.figures = figures;
+  }
+
+  private void broken(int rule, Duration at, String what) {
+    if (count[rule]++ < MOST) {
+      broken.add(new Broken(rule, at, what));
+    }
+  }
+
+  private void end(String how) {
+    ends.merge(how, 1L, Long::sum);
+  }
+
+  // ---- rule 1
+
+  @Override
+  public void asked(Duration at, String req, int n, String gateway, String repeat, Duration budget) {
+    taken++;
+    tries.put(req + "#" + n, new Try(at, at.plus(budget), gateway, lives.getOrDefault(gateway, 0), repeat));
+  }
+
+  @Override
+  public void firstToken(Duration at, String req, int n) {
+    Try t = tries.get(req + "#" + n);
+    if (t != null && t.begun == null) {
+      t.begun = at;
+      if (at.compareTo(t.due.plus(figures.slack)) > 0) {
+        broken(1, at, req + "#" + n + ": first token after its budget");
+      }
+    }
+  }
+
+  @Override
+  public void answered(Duration at, String req, int n, Answer how) {
+    Try t = tries.get(req + "#" + n);
+    end(how.name().toLowerCase(java.util.Locale.ROOT));
+    if (t == null || t.over) {
+      broken(1, at, req + "#" + n + ": a second final answer (" + how + ")");
+      return;
+    }
+    t.over = true;
+    if (t.begun == null && at.compareTo(t.due.plus(figures.slack)) > 0) {
+      broken(1, at, req + "#" + n + ": final answer " + at.minus(t.due).toMillis() + " ms after its budget");
+    }
+    if (how == Answer.PUSHED_BACK) {
+      pushedBack(at, req, n, t);
+    }
+  }
+
+  @Override
+  public void after(Duration at, String req, int n, String what) {
+    broken(1, at, req + "#" + n + ": sent after its final answer: " + what);
+  }
+
+  @Override
+  public void left(Duration at, String req, int n, Left how) {
+    Try t = tries.get(req + "#" + n);
+    end(how.name().toLowerCase(java.util.Locale.ROOT));
+    if (t == null || t.over) {
+      return;
+    }
+    t.over = true;
+    if (how == Left.LOST && alive(t)) {
+      broken(1, at, req + "#" + n + ": its connection ended without a final answer");
+    }
+  }
+
+  private boolean alive(Try t) {
+    return up.contains(t.gateway) && lives.getOrDefault(t.gateway, 0) == t.life;
+  }
+
+  // ---- rule 2
+
+  @Override
+  public void ran(Duration at, long engine, String req, String id, String key) {
+    List<Ran> before = ran.computeIfAbsent(req, r -> new ArrayList<>());
+    Try t = lastTry(req);
+    if (!before.isEmpty() && t != null) {
+      if (t.repeat.equals("non_replayable")) {
+        broken(2, at, req + ": ran again at " + engine + " (" + id + ")");
+      } else if (t.repeat.equals("keyed")) {
+        Ran first = before.get(0);
+        if (key == null || !key.equals(first.key) || at.minus(first.at).compareTo(figures.window) > 0) {
+          broken(2, at, req + ": ran again at " + engine + " without its key or past its window (" + id + ")");
+        }
+      }
+    }
+    before.add(new Ran(at, id, key));
+  }
+
+  private Try lastTry(String req) {
+    for (int n = 9; n >= 0; n--) {
+      Try t = tries.get(req + "#" + n);
+      if (t != null) {
+        return t;
+      }
+    }
+    return null;
+  }
+
+  private void pushedBack(Duration at, String req, int n, Try t) {
+    if (t.repeat.equals("non_replayable") && ran.containsKey(req)) {
+      broken(2, at, req + "#" + n + ": told to come again after it had run");
+    }
+  }
+
+  // ---- rule 3
+
+  @Override
+  public void told(Duration at, String gateway, long engine, boolean usable) {
+    Map<Long, Duration> of = barred.computeIfAbsent(gateway, g -> new HashMap<>());
+    if (usable) {
+      of.remove(engine);
+    } else {
+      of.putIfAbsent(engine, at);
+    }
+  }
+
+  private void sent(Duration at, long engine, String gateway, String what) {
+    Duration since = barred.getOrDefault(gateway, Map.of()).get(engine);
+    if (since != null && at.compareTo(since.plus(figures.drainGrace).plus(figures.slack)) > 0) {
+      broken(3, at, what + " at " + engine + ", " + at.minus(since).toMillis() + " ms after " + gateway + " was told");
+    }
+  }
+
+  @Override
+  public void forward(Duration at, long engine, String gateway, String req, String id, boolean read) {
+    sent(at, engine, gateway, "forward " + id);
+    String name = name(id);
+    out.merge(name, 1, Integer::sum);
+    forwards.put(id, gateway);
+    holds.values().stream().filter(h -> h.req.equals(name)).forEach(h -> h.idle = null);
+  }
+
+  /** The gateway's name of the req, from a forward's or a place's id. */
+  private static String name(String id) {
+    return id.contains("-") ? id.substring(0, id.lastIndexOf('-')) : id;
+  }
+
+  // ---- rule 5
+
+  @Override
+  public void ended(Duration at, long engine, String id) {
+    String name = name(id);
+    if (out.merge(name, -1, Integer::sum) <= 0) {
+      out.remove(name);
+      holds.values().stream().filter(h -> h.req.equals(name)).forEach(h -> h.idle = at);
+    }
+    forwards.remove(id);
+  }
+
+  @Override
+  public void holds(Duration at, long engine, String req, String id) {
+    String gateway = forwards.getOrDefault(id, req);
+    holds.put(engine + "/" + id, new Hold(engine, name(id), gateway, out.containsKey(name(id)) ? null : at));
+  }
+
+  @Override
+  public void freed(Duration at, long engine, String id, boolean taken) {
+    Hold h = holds.remove(engine + "/" + id);
+    if (h != null) {
+      judge(at, h, id);
+    }
+  }
+
+  private void judge(Duration at, Hold h, String id) {
+    if (h.idle == null || !up.contains(h.gateway) && !h.gateway.isEmpty() && lives.containsKey(h.gateway)) {
+      return;                                                 // a killed gateway owes nothing any longer
+    }
+    Duration held = at.minus(h.idle);
+    if (held.compareTo(longestHeld) > 0) {
+      longestHeld = held;
+    }
+    if (held.compareTo(figures.release.plus(figures.slack)) > 0) {
+      broken(5, at, id + " at " + h.engine + " was held " + held.toMillis() + " ms with no forward out");
+    }
+  }
+
+  // ---- rule 4 and the rest
+
+  @Override
+  public void tipped(Duration at, long engine, String why) {
+    broken(4, at, "server " + engine + " was pushed over: " + why);
+  }
+
+  @Override
+  public void gateway(Duration at, String gateway, boolean isUp) {
+    if (isUp) {
+      lives.merge(gateway, 1, Integer::sum);
+      up.add(gateway);
+      barred.remove(gateway);
+    } else {
+      up.remove(gateway);
+      holds.entrySet().removeIf(e -> e.getValue().gateway.equals(gateway));
+    }
+  }
+
+  /** What was found up to now; reqs without an answer count as lost. */
+  public Report finish(Duration at) {
+    tries.forEach((name, t) -> {
+      if (!t.over && alive(t) && (t.begun == null && at.compareTo(t.due.plus(figures.slack)) > 0)) {
+        broken(1, at, name + ": no final answer");
+      }
+    });
+    holds.forEach((id, h) -> judge(at, h, id));
+    long open = tries.values().stream().filter(t -> !t.over).count();
+    return new Report(taken, Map.copyOf(new java.util.TreeMap<>(ends)), open, longestHeld.toMillis(), List.copyOf(broken),
+        count.clone());
+  }
+
+  /**
+   * The verdict on a run.
+   *
+   * @param ends how reqs ended, as their clients saw it
+   * @param open tries without an end when the run was over
+   * @param counts broken rules by number, 1 to 5
+   */
+  public record Report(long taken, Map<String, Long> ends, long open, long longestHeldMs, List<Broken> broken,
+      int[] counts) {
+    public boolean kept() {
+      return broken.isEmpty();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/cli/DemoCommand.java
@@ -0,0 +1,35 @@
+package gapproxy.cli;
+
+import gapproxy.daemon.Demo;
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(name = "demo", description = "Runs a gateway, a list service and five imitation engines on loopback.")
+final class DemoCommand implements Callable<Integer> {
+  @Option(names = "--port", defaultValue = "8080", paramLabel = "N",
+      description = "Port of the gateway; 0 takes any free one (default: ${DEFAULT-VALUE}).")
+  private int port;
+
+  @Override
+  public Integer call() throws IOException, InterruptedException {
+    if (port < 0 || port > 65535) {
+      throw new Main.Failure("--port: 0 to 65535");
+    }
+    Demo demo;
+    try {
+      demo = new Demo(port);
+    } catch (IOException e) {
+      throw new Main.Failure("can't listen on 127.0.0.1:" + port + ": " + e.getMessage());
+    }
+    Exit.onSignal(demo::close);
+    String url = "http://127.0.0.1:" + demo.address().getPort();
+    System.out.println("listening on " + url);
+    System.out.println("curl -N -i " + url + "/v1/chat/completions -H 'content-type: application/json' "
+        + "-d '{\"model\":\"demo\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Write a flood warning.\"}]}'");
+    new CountDownLatch(1).await();
+    return 0;
+  }
+}
--- a/src/main/java/gapproxy/cli/Main.java
+++ b/src/main/java/gapproxy/cli/Main.java
@@ -1,34 +1,58 @@
 package gapproxy.cli;
 
-import gapproxy.benchlink.BadFrame;
-import gapproxy.benchlink.BenchLink;
-import java.io.FileDescriptor;
-import java.io.FileOutputStream;
-import java.io.IOException;
-
-/** The command line: one subcommand a job. */
-public final class Main {
-  private static final String USAGE = """
-      usage: gapproxy COMMAND
-        benchlink   decide for the bench: events on standard input, actions on standard output""";
+import picocli.AutoComplete;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.IVersionProvider;
+import picocli.CommandLine.ScopeType;
+
+/** The command line: one sub-command a job. */
+@Command(name = "gapproxy", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+    scope = ScopeType.INHERIT, sortOptions = false, usageHelpAutoWidth = true,
+    description = "Routes language-model serving with separate readers and writers.",
+    footer = {"", "Exit codes: 0 done; 1 it failed, and one line on standard error says why; 2 wrong command line."},
+    subcommands = {Serve.class, DemoCommand.class, ConfigCommand.class, Bench.class,
+        AutoComplete.GenerateCompletion.class})
+public final class Main implements Runnable {
+  @CommandLine.Spec
+  private CommandLine.Model.CommandSpec spec;
 
   private Main() {}
 
+  /** The build's version, from the jar. */
+  static final class Version implements IVersionProvider {
+    @Override
+    public String[] getVersion() {
+      String v = Main.class.getPackage().getImplementationVersion();
+      return new String[] {"gapproxy " + (v == null ? "unpackaged" : v)};
+    }
+  }
+
+  /** A failure that is told in one line. */
+  static final class Failure extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    Failure(String what) {
+      super(what);
+    }
+  }
+
+  @Override
+  public void run() {
+    throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed");
+  }
+
   public static void main(String[] args) {
     System.exit(run(args));
   }
 
-  static int run(String[] args) {
-    if (args.length != 1 || !args[0].equals("benchlink")) {
-      System.err.println(USAGE);
-      return 2;
-    }
-    try {
-      new BenchLink().serve(System.in, new FileOutputStream(FileDescriptor.out));
-      return 0;
-    } catch (BadFrame | IOException e) {
-      System.err.println("gapproxy benchlink: " + e.getMessage());
+  static int run(String... args) {
+    CommandLine line = new CommandLine(new Main());
+    line.setExecutionExceptionHandler((e, c, parsed) -> {
+      c.getErr().println(c.getCommandSpec().qualifiedName() + ": " + (e instanceof Failure || e.getMessage() != null
+          ? e.getMessage() : e.toString()));
       return 1;
-    }
+    });
+    return line.execute(args);
   }
 }
--- /dev/null
+++ b/src/main/java/gapproxy/cli/Serve.java
@@ -0,0 +1,41 @@
+package gapproxy.cli;
+
+import gapproxy.config.Config;
+import gapproxy.config.ConfigErrors;
+import gapproxy.config.ConfigReader;
+import gapproxy.daemon.Logs;
+import gapproxy.daemon.Node;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(name = "serve", description = "Runs a gateway until it is told to stop (SIGTERM or SIGINT).")
+final class Serve implements Callable<Integer> {
+  @Option(names = "--config", required = true, paramLabel = "FILE", description = "Settings, as `config schema` describes them.")
+  private Path file;
+
+  @Override
+  public Integer call() throws InterruptedException, IOException {
+    Config config;
+    try {
+      config = ConfigReader.read(file);
+    } catch (ConfigErrors e) {
+      throw new Main.Failure(e.getMessage());
+    }
+    Logs.use(config.log());
+    Node node;
+    try {
+      node = Node.start(config);
+    } catch (IOException e) {
+      throw new Main.Failure("can't listen on " + config.listen().host() + ":" + config.listen().port() + ": " + e.getMessage());
+    }
+    CountDownLatch never = new CountDownLatch(1);
+    Exit.onSignal(node::stop);
+    System.out.println("listening on http://" + node.address().getHostString() + ":" + node.address().getPort());
+    never.await();
+    return 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/config/Config.java
@@ -0,0 +1,91 @@
+package gapproxy.config;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.annotation.JsonNaming;
+import gapproxy.api.Settings;
+import gapproxy.api.Settings.ColdLimit;
+import gapproxy.api.Settings.Customer;
+import gapproxy.api.Settings.EndpointGroup;
+import gapproxy.api.Settings.Limits;
+import gapproxy.api.Settings.Repeat;
+import gapproxy.api.Settings.Reports;
+import gapproxy.api.Settings.Role;
+import gapproxy.api.Settings.Scope;
+import gapproxy.api.Settings.ServerKind;
+import gapproxy.api.Settings.Source;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+
+/** One gateway's settings, as the schema describes them; every value is there, given or by default. */
+@JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
+public record Config(String name, Listen listen, List<String> zones, String zone, int gateways, String stateDir,
+    List<Group> groups, List<Who> customers, double overShareWorth, List<Kind> kinds, boolean writersRead,
+    boolean holdAhead, boolean resume, Figures rules, ListSource list, Bounds limits, Http http, Log log) {
+
+  public record Listen(String host, int port) {}
+
+  @JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
+  public record Group(String name, List<String> models, String repeat, String scope, double windowMs, double importance,
+      double responseTargetMs, @JsonProperty("target_per_1000_tokens_ms") double targetPer1000Ms, double deadlineMs,
+      @JsonProperty("deadline_per_1000_tokens_ms") double deadlinePer1000Ms) {
+
+    /** How long a client waits for the first token, by default. */
+    public Duration deadline(int promptTokens) {
+      return span(deadlineMs + deadlinePer1000Ms * promptTokens / 1000);
+    }
+  }
+
+  @JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
+  public record Who(String name, List<String> keys, boolean anonymous, double reqsPerSecond) {}
+
+  @JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
+  public record Kind(String name, String role, double memoryTokens) {}
+
+  @JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
+  public record Figures(double drainGraceMs, double releaseWithinMs, Cold cold) {}
+
+  @JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
+  public record Cold(double leastCapacity, double warmWithinMs, double tipMultiple, double tipSpanMs) {}
+
+  @JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
+  public record ListSource(String file, String url, int lookEveryMs, int waitMs, int askWithinMs) {}
+
+  @JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
+  public record Bounds(int forwards, boolean cancel, boolean copies, boolean probes, boolean retryAdvice,
+      double longestRetryAdviceMs, int connectMs, int probeMs, double tickMs, int longestAnswerMs, int stopMs,
+      int openReqs) {}
+
+  @JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
+  public record Http(int headBytes, int headers, int bodyBytes, int outBytes, int idleMs, int arriveMs,
+      int poolIdleMs) {}
+
+  public record Log(String form, String level) {}
+
+  /** A span given in milliseconds. */
+  public static Duration span(double ms) {
+    return Duration.ofNanos(Math.round(ms * 1e6));
+  }
+
+  public int zoneNumber() {
+    return zone == null ? 0 : zones.indexOf(zone);
+  }
+
+  /** The part that the decisions read. */
+  public Settings settings() {
+    return new Settings(gateways, zoneNumber(), span(limits.tickMs),
+        groups.stream().map(g -> new EndpointGroup(Repeat.valueOf(g.repeat.toUpperCase(Locale.ROOT)),
+            Scope.valueOf(g.scope.toUpperCase(Locale.ROOT)), span(g.windowMs), g.importance,
+            span(g.responseTargetMs), span(g.targetPer1000Ms))).toList(),
+        customers.stream().map(c -> new Customer(c.reqsPerSecond)).toList(), overShareWorth,
+        kinds.stream().map(k -> new ServerKind(Role.valueOf(k.role.toUpperCase(Locale.ROOT)), k.memoryTokens)).toList(),
+        writersRead, holdAhead, span(rules.releaseWithinMs), span(rules.drainGraceMs),
+        new ColdLimit(rules.cold.leastCapacity, span(rules.cold.warmWithinMs), rules.cold.tipMultiple,
+            span(rules.cold.tipSpanMs)),
+        list.url != null, span(list.askWithinMs),
+        new Reports(limits.probes ? Source.BY_PROBE : Source.NONE, 0, 1, -1, 2, -1),
+        new Limits(limits.forwards, limits.cancel, limits.copies, limits.probes, limits.retryAdvice,
+            span(limits.longestRetryAdviceMs)));
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/daemon/Demo.java
@@ -0,0 +1,79 @@
+package gapproxy.daemon;
+
+import gapproxy.audit.Silent;
+import gapproxy.config.Config;
+import gapproxy.config.ConfigErrors;
+import gapproxy.config.ConfigReader;
+import gapproxy.runtime.LiveLoop;
+import gapproxy.runtime.LiveNet;
+import gapproxy.standin.Fleet;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+
+/** A gateway, a list service and five imitation engines in one process, to be talked to by hand. */
+public final class Demo implements AutoCloseable {
+  private final LiveLoop world = new LiveLoop("engines");
+  private final LiveNet net = new LiveNet("engines-net", 2);
+  private final Fleet fleet;
+  private final Node node;
+
+  /** @param port of the gateway on loopback; 0 takes any free one */
+  public Demo(int port) throws IOException {
+    Fleet[] made = new Fleet[1];
+    IOException[] failed = new IOException[1];
+    world.call(() -> {
+      try {
+        made[0] = new Fleet(Fleet.Size.DEMO, world, net, new Silent(), 1, "demo");
+      } catch (IOException e) {
+        failed[0] = e;
+      }
+    });
+    if (failed[0] != null) {
+      throw failed[0];
+    }
+    fleet = made[0];
+    InetSocketAddress list = fleet.list.address();
+    String text = """
+        {"name": "demo", "listen": {"port": %d}, "zones": ["zone0"],
+         "groups": [{"name": "demo", "models": ["demo"]}],
+         "kinds": [{"name": "reader", "role": "read", "memory_tokens": 250000},
+                   {"name": "writer", "role": "write", "memory_tokens": 200000}],
+         "list": {"url": "http://127.0.0.1:%d/v1/servers"}}
+        """.formatted(port, list.getPort());
+    Config config;
+    try {
+      config = ConfigReader.parse(text, "demo");
+    } catch (ConfigErrors e) {
+      throw new IllegalStateException(e);
+    }
+    Node n = null;
+    try {
+      n = Node.start(config);
+    } finally {
+      if (n == null) {
+        end();
+      }
+    }
+    node = n;
+  }
+
+  public InetSocketAddress address() {
+    return node.address();
+  }
+
+  private void end() {
+    world.call(() -> {
+      if (fleet != null) {
+        fleet.close();
+      }
+    });
+    world.close();
+    net.close();
+  }
+
+  @Override
+  public void close() {
+    node.stop();
+    end();
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/daemon/Node.java
@@ -0,0 +1,90 @@
+package gapproxy.daemon;
+
+import gapproxy.config.Config;
+import gapproxy.gateway.Gateway;
+import gapproxy.runtime.LiveDisk;
+import gapproxy.runtime.LiveLoop;
+import gapproxy.runtime.LiveNet;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/** One gateway with its loop, its transport and its disk. */
+public final class Node implements AutoCloseable {
+  private final Config config;
+  private final LiveLoop loop;
+  private final LiveNet net;
+  private final LiveDisk disk = new LiveDisk();
+  private final Gateway gateway;
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private volatile InetSocketAddress address;
+
+  private Node(Config config) throws IOException {
+    this.config = config;
+    loop = new LiveLoop(config.name());
+    net = new LiveNet(config.name() + "-net", Math.max(2, Runtime.getRuntime().availableProcessors() / 2));
+    gateway = new Gateway(config, loop, net, disk, loop.wall().toEpochMilli() * 31 + config.name().hashCode());
+  }
+
+  /**
+   * Starts a gateway.
+   *
+   * @throws IOException if its port can't be bound
+   */
+  public static Node start(Config config) throws IOException {
+    Node n = new Node(config);
+    IOException[] failed = new IOException[1];
+    n.loop.call(() -> {
+      try {
+        n.gateway.start();
+        n.address = n.gateway.address();
+      } catch (IOException e) {
+        failed[0] = e;
+      }
+    });
+    if (failed[0] != null) {
+      n.release();
+      throw failed[0];
+    }
+    return n;
+  }
+
+  public InetSocketAddress address() {
+    return address;
+  }
+
+  public Gateway gateway() {
+    return gateway;
+  }
+
+  public LiveLoop loop() {
+    return loop;
+  }
+
+  /** Stops in good order; waits no longer than the settings' stop time and some. */
+  public void stop() {
+    loop.execute(() -> gateway.stop(stopped::countDown));
+    try {
+      if (!stopped.await(config.limits().stopMs() + 5000L, TimeUnit.MILLISECONDS)) {
+        org.slf4j.LoggerFactory.getLogger(Node.class).error("did not stop in time");
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    release();
+  }
+
+  /** Ends as a killed process would. */
+  @Override
+  public void close() {
+    loop.call(gateway::kill);
+    release();
+  }
+
+  private void release() {
+    loop.close();
+    net.close();
+    disk.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Puts the parts of one process together: start, stop, logs. */
+package gapproxy.daemon;
--- /dev/null
+++ b/src/main/java/gapproxy/engine/Engines.java
@@ -0,0 +1,331 @@
+package gapproxy.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gapproxy.http.EventStream;
+import gapproxy.http.HttpClient;
+import gapproxy.openai.Chunk;
+import gapproxy.openai.ChatRequest;
+import gapproxy.runtime.Loop;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * Calls to engines in the form of vLLM's disaggregated serving. A read is a completion of one token with
+ * {@code kv_transfer_params.do_remote_decode}; its answer's parameters go with the write, which fetches the state they
+ * name. Ours, and no published engine's: {@code PUT} and {@code DELETE /v1/kv_transfer/ID}, which hold a place at a writer
+ * and free whatever is held for that id; 410 for a state that is gone.
+ */
+public final class Engines {
+  private static final int LONGEST_EVENT = 1 << 20, LONGEST_WHOLE = 8 << 20;
+  private static final byte[] NONE = new byte[0];
+
+  private final HttpClient http;
+  private final Loop loop;
+  private final String gateway;
+  private final Duration connectWithin;
+  private final Duration probeWithin;
+
+  public Engines(HttpClient http, Loop loop, String gateway, Duration connectWithin, Duration probeWithin) {
+    this.http = http;
+    this.loop = loop;
+    this.gateway = gateway;
+    this.connectWithin = connectWithin;
+    this.probeWithin = probeWithin;
+  }
+
+  /** What becomes of a read. */
+  public interface Reading {
+    /** The state waits at the reader under these parameters; so many prompt tokens were found kept. */
+    void read(JsonNode transfer, long keptTokens, long promptTokens);
+
+    void failed(Verdict how);
+  }
+
+  /** What becomes of a write. */
+  public interface Writing {
+    void chunk(Chunk chunk);
+
+    /** No more chunks came with the same bytes. */
+    void flush();
+
+    /** The stream came to its regular end. */
+    void done();
+
+    void failed(Verdict how);
+  }
+
+  /** Asks a reader to read a prompt. */
+  public HttpClient.Call read(InetSocketAddress to, String id, String key, ChatRequest r, Reading then) {
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.setAll(r.body());
+    body.put("stream", false).put("max_tokens", 1);
+    body.remove("stream_options");
+    body.remove("max_completion_tokens");
+    body.putObject("kv_transfer_params").put("do_remote_decode", true).put("do_remote_prefill", false)
+        .putNull("remote_engine_id").putNull("remote_block_ids").putNull("remote_host").putNull("remote_port");
+    return http.call(to, "POST", "/v1/chat/completions", headers(id, key, null), bytes(body), connectWithin,
+        new Whole(LONGEST_WHOLE) {
+          @Override
+          void whole(int status, byte[] answer) {
+            if (status != 200) {
+              then.failed(Verdict.ofStatus(status, answer));
+              return;
+            }
+            JsonNode json = json(answer);
+            JsonNode transfer = json == null ? null : json.get("kv_transfer_params");
+            if (transfer == null || !transfer.isObject()) {
+              then.failed(new Verdict(Verdict.Kind.ERROR, status, NONE, "a read without transfer parameters"));
+            } else {
+              JsonNode usage = json.path("usage");
+              then.read(transfer, kept(usage), usage.path("prompt_tokens").asLong());
+            }
+          }
+
+          @Override
+          void broken(Verdict how) {
+            then.failed(how);
+          }
+        });
+  }
+
+  /** Asks a writer to answer, from a state that waits elsewhere or, where there is none, by reading itself. */
+  public HttpClient.Call write(InetSocketAddress to, String id, String key, String place, ChatRequest r,
+      JsonNode transfer, Writing then) {
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.setAll(r.body());
+    body.put("stream", true).putObject("stream_options").put("include_usage", true);
+    body.remove("kv_transfer_params");
+    if (transfer != null) {
+      body.set("kv_transfer_params", transfer);
+    }
+    return http.call(to, "POST", "/v1/chat/completions", headers(id, key, place), bytes(body), connectWithin,
+        new Stream(then));
+  }
+
+  /** Asks how an engine stands; no figures where it does not tell, a verdict where it does not answer. */
+  public void probe(InetSocketAddress to, BiConsumer<double[], Verdict> then) {
+    limited(probeWithin, to, "GET", "/metrics", Map.of("x-gapproxy-gateway", gateway), NONE, (status, body, how) -> {
+      if (how == null && status == 200) {
+        then.accept(Load.parse(new String(body, StandardCharsets.UTF_8)), null);
+      } else {
+        then.accept(NONE_TOLD, how != null ? how : Verdict.ofStatus(status, NONE));
+      }
+    });
+  }
+
+  private static final double[] NONE_TOLD = new double[0];
+
+  /** What an engine says when asked to free something. */
+  public interface Released {
+    /**
+     * @param well whether nothing is held there now
+     * @param any whether anything was
+     */
+    void then(boolean well, boolean any);
+  }
+
+  /** Frees what an engine holds for an id. */
+  public void release(InetSocketAddress to, String id, Duration within, Released then) {
+    limited(within, to, "DELETE", "/v1/kv_transfer/" + id, Map.of("x-gapproxy-gateway", gateway), NONE,
+        (status, body, how) -> {
+          boolean freed = how == null && status / 100 == 2;
+          then.then(freed || how == null && (status == 404 || status == 410), freed);
+        });
+  }
+
+  /** Asks a writer to hold a place for so many tokens; says whether it does. */
+  public void hold(InetSocketAddress to, String id, int tokens, Duration within, Consumer<Boolean> then) {
+    byte[] body = bytes(JsonNodeFactory.instance.objectNode().put("tokens", tokens));
+    limited(within, to, "PUT", "/v1/kv_transfer/" + id,
+        Map.of("x-gapproxy-gateway", gateway, "content-type", "application/json"), body,
+        (status, b, how) -> then.accept(how == null && status / 100 == 2));
+  }
+
+  /** Closes the pooled connections to an address that is no longer in use. */
+  public void forget(InetSocketAddress to) {
+    http.closeIdle(to);
+  }
+
+  private interface Answered {
+    void then(int status, byte[] body, Verdict how);
+  }
+
+  private void limited(Duration within, InetSocketAddress to, String method, String path, Map<String, String> headers,
+      byte[] body, Answered then) {
+    Loop.Timer[] limit = new Loop.Timer[1];
+    HttpClient.Call call = http.call(to, method, path, headers, body, connectWithin, new Whole(LONGEST_EVENT) {
+      @Override
+      void whole(int status, byte[] answer) {
+        limit[0].cancel();
+        then.then(status, answer, null);
+      }
+
+      @Override
+      void broken(Verdict how) {
+        limit[0].cancel();
+        then.then(0, NONE, how);
+      }
+    });
+    limit[0] = loop.after(within, () -> {
+      call.cancel();
+      then.then(0, NONE, new Verdict(Verdict.Kind.BROKEN, 0, NONE, "no answer within " + within.toMillis() + " ms"));
+    });
+  }
+
+  private Map<String, String> headers(String id, String key, String place) {
+    Map<String, String> h = new HashMap<>();
+    h.put("content-type", "application/json");
+    h.put("x-request-id", id);
+    h.put("x-gapproxy-gateway", gateway);
+    if (key != null) {
+      h.put("idempotency-key", key);
+    }
+    if (place != null) {
+      h.put("x-gapproxy-place", place);
+    }
+    return h;
+  }
+
+  private static byte[] bytes(JsonNode json) {
+    return json.toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static JsonNode json(byte[] bytes) {
+    try {
+      return ChatRequest.JSON.readTree(bytes);
+    } catch (java.io.IOException e) {
+      return null;
+    }
+  }
+
+  static long kept(JsonNode usage) {
+    return usage.path("prompt_tokens_details").path("cached_tokens").asLong(0);
+  }
+
+  private static Verdict broken(HttpClient.Failure how, String why) {
+    return new Verdict(how == HttpClient.Failure.NO_CONNECTION ? Verdict.Kind.NO_CONNECTION : Verdict.Kind.BROKEN, 0,
+        NONE, why);
+  }
+
+  /** Gathers an answer that comes whole. */
+  private abstract static class Whole implements HttpClient.Listener {
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final int longest;
+    private int status;
+
+    Whole(int longest) {
+      this.longest = longest;
+    }
+
+    abstract void whole(int status, byte[] answer);
+
+    abstract void broken(Verdict how);
+
+    @Override
+    public void head(int s, Map<String, String> headers) {
+      status = s;
+    }
+
+    @Override
+    public void data(byte[] bytes) {
+      if (body.size() + bytes.length <= longest) {            // the rest of a longer one is not kept: it won't parse
+        body.writeBytes(bytes);
+      }
+    }
+
+    @Override
+    public void end() {
+      whole(status, body.toByteArray());
+    }
+
+    @Override
+    public void failed(HttpClient.Failure how, String why) {
+      broken(Engines.broken(how, why));
+    }
+  }
+
+  /** Takes a stream of chunks apart; after its regular end or its failure nothing more is told. */
+  private static final class Stream implements HttpClient.Listener {
+    private final Writing then;
+    private final EventStream events = new EventStream(LONGEST_EVENT, this::event);
+    private final ByteArrayOutputStream error = new ByteArrayOutputStream();
+    private int status;
+    private boolean token;
+    private boolean over;
+
+    Stream(Writing then) {
+      this.then = then;
+    }
+
+    private void event(String data) {
+      if (over) {
+        return;
+      }
+      Chunk c = Chunk.of(data, !token);
+      if (c.error()) {
+        over = true;
+        then.failed(new Verdict(Verdict.Kind.BROKEN, status, NONE, "the engine ended its stream with an error"));
+      } else if (c.done()) {
+        over = true;
+        then.done();
+      } else {
+        token |= c.hasToken();
+        then.chunk(c);
+      }
+    }
+
+    @Override
+    public void head(int s, Map<String, String> headers) {
+      status = s;
+    }
+
+    @Override
+    public void data(byte[] bytes) {
+      if (over) {
+        return;
+      }
+      if (status != 200) {
+        if (error.size() < LONGEST_EVENT) {
+          error.writeBytes(bytes);
+        }
+        return;
+      }
+      try {
+        events.take(bytes);
+        if (!over) {
+          then.flush();
+        }
+      } catch (IllegalStateException e) {
+        if (!over) {
+          over = true;
+          then.failed(new Verdict(Verdict.Kind.ERROR, status, NONE, e.getMessage()));
+        }
+      }
+    }
+
+    @Override
+    public void end() {
+      if (!over) {
+        over = true;
+        then.failed(status != 200 ? Verdict.ofStatus(status, error.toByteArray())
+            : new Verdict(Verdict.Kind.BROKEN, status, NONE, "the stream ended without its last event"));
+      }
+    }
+
+    @Override
+    public void failed(HttpClient.Failure how, String why) {
+      if (!over) {
+        over = true;
+        then.failed(Engines.broken(how, why));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/gateway/Fleet.java
@@ -0,0 +1,115 @@
+package gapproxy.gateway;
+
+import gapproxy.api.Event;
+import gapproxy.api.Settings.Role;
+import gapproxy.config.Config;
+import gapproxy.list.ServerList;
+import gapproxy.runtime.Loop;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.zip.CRC32;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The servers that lists have named: where they are, and how the decisions know them. */
+final class Fleet {
+  private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+
+  /** A server, as the last list that named it says. */
+  record Server(ServerList.Entry entry, Role role) {
+    long id() {
+      return entry.id();
+    }
+
+    InetSocketAddress address() {
+      return entry.address();
+    }
+  }
+
+  private final Config config;
+  private final Loop loop;
+  private final Consumer<InetSocketAddress> unused;
+  private final Map<Long, Server> servers = new HashMap<>();
+  private final Map<Long, ServerList.Entry> listed = new TreeMap<>();
+
+  /** @param unused told of addresses that no server has any longer */
+  Fleet(Config config, Loop loop, Consumer<InetSocketAddress> unused) {
+    this.config = config;
+    this.loop = loop;
+    this.unused = unused;
+  }
+
+  Server get(long id) {
+    return servers.get(id);
+  }
+
+  /** Whether any server is there to be used. */
+  boolean anyReady() {
+    return listed.values().stream().anyMatch(e -> e.state() == ServerList.State.READY);
+  }
+
+  /** The list as it is held, for the copy that outlives a restart. */
+  ServerList held() {
+    return new ServerList("", 0, true, List.copyOf(listed.values()));
+  }
+
+  /** Takes a list over; servers of an unknown kind or zone are left out, which is logged. */
+  Event.ServerList take(ServerList list, boolean remembered) {
+    List<Event.Line> lines = new ArrayList<>();
+    if (list.complete()) {
+      listed.clear();
+    }
+    for (ServerList.Entry e : list.servers()) {
+      int kind = kind(e.kind());
+      int zone = config.zones().indexOf(e.zone().isEmpty() ? config.zones().get(0) : e.zone());
+      if (kind < 0 || zone < 0) {
+        LOG.atWarn().addKeyValue("server", e.id()).addKeyValue("kind", e.kind()).addKeyValue("zone", e.zone())
+            .log("a server of the list has a kind or zone that the settings do not know; it is left out");
+        continue;
+      }
+      Server before = servers.put(e.id(), new Server(e, role(kind)));
+      if (before != null && !before.address().equals(e.address())) {
+        unused.accept(before.address());
+      }
+      if (e.state() == ServerList.State.GONE) {
+        listed.remove(e.id());
+        unused.accept(e.address());
+      } else {
+        listed.put(e.id(), e);
+      }
+      Duration up = e.upSince() == null ? null
+          : loop.now().minus(Duration.between(e.upSince(), loop.wall()));
+      lines.add(new Event.Line(e.id(), zone, kind, cell(e), Event.State.valueOf(e.state().name()), e.size(), up));
+    }
+    return new Event.ServerList(remembered ? Event.ListForm.REMEMBERED
+        : list.complete() ? Event.ListForm.COMPLETE : Event.ListForm.CHANGES, lines);
+  }
+
+  private int kind(String name) {
+    for (int i = 0; i < config.kinds().size(); i++) {
+      if (Objects.equals(config.kinds().get(i).name(), name)) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  private Role role(int kind) {
+    return Role.valueOf(config.kinds().get(kind).role().toUpperCase(java.util.Locale.ROOT));
+  }
+
+  /** The number of a cell: the same at every gateway, since homes of sessions are picked by it. */
+  private static int cell(ServerList.Entry e) {
+    CRC32 crc = new CRC32();
+    crc.update((e.zone() + "/" + e.cell()).getBytes(StandardCharsets.UTF_8));
+    return (int) (crc.getValue() >>> 1);
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/http/Caps.java
@@ -0,0 +1,19 @@
+package gapproxy.http;
+
+import java.time.Duration;
+
+/**
+ * What one connection may use.
+ *
+ * @param headBytes longest request line and headers together
+ * @param headers most header lines
+ * @param bodyBytes longest body
+ * @param outBytes bytes that may wait to be written before the writer is told to hold back
+ * @param pipelined reqs that may wait behind the one in hand before the connection is closed
+ * @param idle how long a connection may stay open with no req in hand
+ * @param arrive how long a req may take from its first byte to its last
+ */
+public record Caps(int headBytes, int headers, int bodyBytes, int outBytes, int pipelined, Duration idle, Duration arrive) {
+  public static final Caps DEFAULT =
+      new Caps(16 << 10, 100, 4 << 20, 256 << 10, 16, Duration.ofSeconds(60), Duration.ofSeconds(10));
+}
--- /dev/null
+++ b/src/main/java/gapproxy/http/EventStream.java
@@ -0,0 +1,61 @@
+package gapproxy.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+/** Takes a stream of server-sent events apart (WHATWG HTML, section 9.2.6); only data fields are of use here. */
+public final class EventStream {
+  private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+  private final StringBuilder data = new StringBuilder();
+  private final int longest;
+  private final Consumer<String> then;
+  private boolean after;                                      // a carriage return was the last byte
+
+  /** @param longest bytes of one event's data past which the stream is not worth trusting */
+  public EventStream(int longest, Consumer<String> then) {
+    this.longest = longest;
+    this.then = then;
+  }
+
+  /**
+   * Takes the next bytes, cut anywhere.
+   *
+   * @throws IllegalStateException if one event grows past the longest allowed
+   */
+  public void take(byte[] bytes) {
+    int from = 0;
+    for (int i = 0; i < bytes.length; i++) {
+      byte b = bytes[i];
+      if (b == '\n' && after) {
+        after = false;
+        from = i + 1;
+      } else if (b == '\n' || b == '\r') {
+        line.write(bytes, from, i - from);
+        from = i + 1;
+        after = b == '\r';
+        whole();
+      } else {
+        after = false;
+      }
+    }
+    line.write(bytes, from, bytes.length - from);
+    if (line.size() + data.length() > longest) {
+      throw new IllegalStateException("an event of more than " + longest + " bytes");
+    }
+  }
+
+  private void whole() {
+    String s = line.toString(StandardCharsets.UTF_8);
+    line.reset();
+    if (s.isEmpty()) {
+      if (data.length() > 0) {
+        String d = data.substring(0, data.length() - 1);
+        data.setLength(0);
+        then.accept(d);
+      }
+    } else if (s.startsWith("data:")) {
+      data.append(s, s.startsWith("data: ") ? 6 : 5, s.length()).append('\n');
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/http/Exchange.java
@@ -0,0 +1,174 @@
+package gapproxy.http;
+
+import gapproxy.runtime.Loop;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+
+/** One request and its response. Belongs to the loop; what is sent after its end, or to a closed connection, is dropped. */
+public final class Exchange {
+  /** What happens when the response has been given whole. */
+  interface Finished {
+    void then(boolean keepOpen);
+  }
+
+  private final Loop loop;
+  private final Connection<?> connection;
+  private final HttpRequestPacket packet;
+  private final Caps caps;
+  private final Finished finished;
+  private final AtomicInteger waiting = new AtomicInteger();  // bytes given to the transport and not yet written
+  private HttpResponsePacket response;
+  private boolean ended;
+  private boolean lost;
+  private Runnable onLost;
+  private Runnable onRoom;
+  public final HttpRequest request;
+
+  Exchange(Loop loop, Connection<?> connection, HttpRequestPacket packet, HttpRequest request, Caps caps,
+      Finished finished) {
+    this.loop = loop;
+    this.connection = connection;
+    this.packet = packet;
+    this.request = request;
+    this.caps = caps;
+    this.finished = finished;
+  }
+
+  /** Runs when the client is gone before the response was given whole. */
+  public void onLost(Runnable then) {
+    onLost = then;
+    if (lost) {
+      then.run();
+    }
+  }
+
+  /** Runs each time that the bytes which wait have been written, after {@link #full} was true. */
+  public void onRoom(Runnable then) {
+    onRoom = then;
+  }
+
+  /** Whether so much waits to be written that the source should hold back. */
+  public boolean full() {
+    return waiting.get() > caps.outBytes();
+  }
+
+  public boolean open() {
+    return !ended && !lost;
+  }
+
+  /** Gives a whole response. */
+  public void respond(int status, Map<String, String> headers, byte[] body) {
+    if (!open()) {
+      return;
+    }
+    head(status, headers);
+    response.setContentLength(body.length);
+    finish(HttpContent.builder(response).content(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, body)).last(true).build(),
+        body.length);
+  }
+
+  /** Begins a response in chunks. */
+  public void begin(int status, Map<String, String> headers) {
+    if (open()) {
+      head(status, headers);
+      response.setChunked(true);
+    }
+  }
+
+  public boolean begun() {
+    return response != null;
+  }
+
+  public void write(byte[] bytes) {
+    if (open() && bytes.length > 0) {
+      send(HttpContent.builder(response).content(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes)).build(),
+          bytes.length);
+    }
+  }
+
+  public void write(String text) {
+    write(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Ends a response in chunks. */
+  public void end() {
+    if (open()) {
+      finish(HttpContent.builder(response).content(Buffers.EMPTY_BUFFER).last(true).build(), 0);
+    }
+  }
+
+  /** Ends a response in chunks and the connection with it, since the answer is not whole. */
+  public void breakOff() {
+    if (open()) {
+      ended = true;
+      connection.close();
+      finished.then(false);
+    }
+  }
+
+  /** Cuts the connection at once, as a process that dies would. */
+  public void cut() {
+    ended = true;
+    connection.terminateSilently();
+  }
+
+  /** Stops to take, or takes again, what the client sends. */
+  public Connection<?> connection() {
+    return connection;
+  }
+
+  private void head(int status, Map<String, String> headers) {
+    response = packet.getResponse();
+    response.setStatus(status);
+    headers.forEach(response::setHeader);
+  }
+
+  private void finish(HttpContent last, int bytes) {
+    boolean keep = !"close".equalsIgnoreCase(request.header("connection"))
+        && !"close".equalsIgnoreCase(response.getHeader("connection"))
+        && packet.getProtocol() == org.glassfish.grizzly.http.Protocol.HTTP_1_1;
+    if (!keep) {
+      response.setHeader("Connection", "close");
+    }
+    ended = true;
+    send(last, bytes);
+    finished.then(keep);
+  }
+
+  private void send(HttpContent part, int bytes) {
+    waiting.addAndGet(bytes);
+    CompletionHandler<WriteResult<HttpContent, Object>> written = new EmptyCompletionHandler<>() {
+      @Override
+      public void completed(WriteResult<HttpContent, Object> r) {
+        int before = waiting.getAndAdd(-bytes);
+        if (before > caps.outBytes() && before - bytes <= caps.outBytes() && onRoom != null) {
+          loop.execute(() -> {
+            if (onRoom != null) {
+              onRoom.run();
+            }
+          });
+        }
+      }
+    };
+    @SuppressWarnings("unchecked")
+    Connection<Object> c = (Connection<Object>) connection;
+    c.write(part, written);
+  }
+
+  void lost() {
+    lost = true;
+    if (!ended && onLost != null) {
+      onLost.run();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -0,0 +1,296 @@
+package gapproxy.http;
+
+import gapproxy.runtime.Loop;
+import gapproxy.runtime.Net;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.Filter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpPacket;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+
+/** The asking end of HTTP/1.1, with a pool of open connections for each address. Belongs to one loop. */
+public final class HttpClient {
+  /** Why a call came to nothing. */
+  public enum Failure {
+    /** No connection within the time, so nothing was sent. */
+    NO_CONNECTION,
+    /** The connection ended before the response did. */
+    BROKEN
+  }
+
+  /** What becomes of a call; all of it on the loop, and nothing after {@link #end}, {@link #failed} or a cancel. */
+  public interface Listener {
+    void head(int status, Map<String, String> headers);
+
+    void data(byte[] bytes);
+
+    void end();
+
+    void failed(Failure how, String why);
+  }
+
+  private static final Attribute<Wire> WIRE =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("gapproxy.http.client");
+
+  private final Loop loop;
+  private final Net net;
+  private final Duration idle;
+  private final Map<InetSocketAddress, ArrayDeque<Wire>> pool = new HashMap<>();
+  private int opened;
+
+  /** @param idle how long a connection may wait in the pool */
+  public HttpClient(Loop loop, Net net, Duration idle) {
+    this.loop = loop;
+    this.net = net;
+    this.idle = idle;
+  }
+
+  /** Connections opened so far. */
+  public int opened() {
+    return opened;
+  }
+
+  /** Sends a request, on a pooled connection if there is one. */
+  public Call call(InetSocketAddress to, String method, String path, Map<String, String> headers, byte[] body,
+      Duration connectWithin, Listener listener) {
+    Call call = new Call(to, method, path, headers, body, listener);
+    ArrayDeque<Wire> ready = pool.get(to);
+    Wire w = null;
+    while (ready != null && (w = ready.pollLast()) != null && !w.connection.isOpen()) {
+      w = null;
+    }
+    if (w != null) {
+      w.timer.cancel();
+      call.start(w);
+    } else {
+      call.connect(connectWithin);
+    }
+    return call;
+  }
+
+  /** Closes the connections that wait in the pool, all or those to one address. */
+  public void closeIdle(InetSocketAddress to) {
+    pool.forEach((address, wires) -> {
+      if (to == null || address.equals(to)) {
+        wires.forEach(w -> w.connection.closeSilently());
+      }
+    });
+  }
+
+  /** One request on its way. */
+  public final class Call {
+    private final InetSocketAddress to;
+    private final String method;
+    private final String path;
+    private final Map<String, String> headers;
+    private final byte[] body;
+    private final Listener listener;
+    private Wire wire;
+    private Loop.Timer limit;
+    private boolean over;
+
+    Call(InetSocketAddress to, String method, String path, Map<String, String> headers, byte[] body,
+        Listener listener) {
+      this.to = to;
+      this.method = method;
+      this.path = path;
+      this.headers = headers;
+      this.body = body;
+      this.listener = listener;
+    }
+
+    private void connect(Duration within) {
+      limit = loop.after(within, () -> fail(Failure.NO_CONNECTION, "no connection within " + within.toMillis() + " ms"));
+      net.connect(to, () -> List.<Filter>of(new HttpClientFilter(16 << 10), new Gather()), new Net.Connected() {
+        @Override
+        public void open(Connection<?> c) {
+          Wire w = new Wire(to, c);
+          WIRE.set(c, w);
+          loop.execute(() -> {
+            opened++;
+            if (over) {
+              c.closeSilently();
+            } else {
+              limit.cancel();
+              start(w);
+            }
+          });
+        }
+
+        @Override
+        public void failed(IOException why) {
+          loop.execute(() -> fail(Failure.NO_CONNECTION, String.valueOf(why.getMessage())));
+        }
+      });
+    }
+
+    private void start(Wire w) {
+      wire = w;
+      w.call = this;
+      if (!w.connection.isOpen()) {
+        fail(Failure.NO_CONNECTION, "closed before anything was sent");
+        return;
+      }
+      HttpRequestPacket.Builder b = HttpRequestPacket.builder().method(method).uri(path).protocol("HTTP/1.1")
+          .host(to.getHostString() + ":" + to.getPort());
+      headers.forEach(b::header);
+      b.contentLength(body.length);
+      HttpPacket p = HttpContent.builder(b.build())
+          .content(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, body)).last(true).build();
+      @SuppressWarnings("unchecked")
+      Connection<Object> c = (Connection<Object>) w.connection;
+      c.write(p);
+    }
+
+    /** Ends it: the connection is closed, which the server takes as a cancel. */
+    public void cancel() {
+      if (!over) {
+        over = true;
+        if (limit != null) {
+          limit.cancel();
+        }
+        if (wire != null) {
+          wire.call = null;
+          wire.connection.terminateSilently();
+        }
+      }
+    }
+
+    /** Whether the response may come in for now. */
+    public void reading(boolean on) {
+      if (wire != null && !over) {
+        net.reading(wire.connection, on);
+      }
+    }
+
+    private void fail(Failure how, String why) {
+      if (!over) {
+        cancel();
+        listener.failed(how, why);
+      }
+    }
+
+    private void ended(boolean keep) {
+      over = true;
+      wire.call = null;
+      if (keep && wire.connection.isOpen()) {
+        wire.rest();
+      } else {
+        wire.connection.closeSilently();
+      }
+      listener.end();
+    }
+  }
+
+  private final class Wire {
+    final InetSocketAddress to;
+    final Connection<?> connection;
+    HttpResponsePacket response;                              // of the transport's thread
+    Call call;
+    Loop.Timer timer;
+
+    Wire(InetSocketAddress to, Connection<?> connection) {
+      this.to = to;
+      this.connection = connection;
+    }
+
+    void rest() {
+      pool.computeIfAbsent(to, a -> new ArrayDeque<>()).add(this);
+      timer = loop.after(idle, connection::closeSilently);
+    }
+
+    void closed() {
+      ArrayDeque<Wire> ready = pool.get(to);
+      if (ready != null) {
+        ready.remove(this);
+      }
+      if (timer != null) {
+        timer.cancel();
+      }
+      if (call != null) {
+        call.fail(Failure.BROKEN, "the connection ended before the response");
+      }
+    }
+  }
+
+  /** Hands the parts of responses to the loop. */
+  private final class Gather extends BaseFilter {
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+      HttpContent part = ctx.getMessage();
+      Wire w = WIRE.get(ctx.getConnection());
+      HttpResponsePacket p = (HttpResponsePacket) part.getHttpHeader();
+      Buffer b = part.getContent();
+      byte[] bytes = new byte[b.remaining()];
+      b.get(bytes);
+      b.tryDispose();
+      boolean first = w.response != p;
+      boolean last = part.isLast();
+      boolean broken = HttpContent.isBroken(part);
+      w.response = last ? null : p;
+      Map<String, String> headers = first ? headers(p) : null;
+      int status = p.getStatus();
+      boolean keep = first && last || last ? keeps(p) : false;
+      loop.execute(() -> {
+        Call c = w.call;
+        if (c == null) {
+          return;
+        }
+        if (broken) {
+          c.fail(Failure.BROKEN, "the response is not valid HTTP/1.1");
+          return;
+        }
+        if (first) {
+          c.listener.head(status, headers);
+        }
+        if (bytes.length > 0 && w.call == c) {
+          c.listener.data(bytes);
+        }
+        if (last && w.call == c) {
+          c.ended(keep);
+        }
+      });
+      return ctx.getStopAction();
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+      Wire w = WIRE.get(ctx.getConnection());
+      if (w != null) {
+        loop.execute(w::closed);
+      }
+      return ctx.getInvokeAction();
+    }
+  }
+
+  private static boolean keeps(HttpResponsePacket p) {
+    return !"close".equalsIgnoreCase(p.getHeader("connection"))
+        && p.getProtocol() == org.glassfish.grizzly.http.Protocol.HTTP_1_1 && (p.isChunked() || p.getContentLength() >= 0);
+  }
+
+  private static Map<String, String> headers(HttpResponsePacket p) {
+    Map<String, String> headers = new HashMap<>();
+    for (String name : p.getHeaders().names()) {
+      headers.putIfAbsent(name.toLowerCase(Locale.ROOT), p.getHeader(name));
+    }
+    return headers;
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/http/HttpRequest.java
@@ -0,0 +1,23 @@
+package gapproxy.http;
+
+import java.util.Locale;
+import java.util.Map;
+
+/** A whole request; header names are in lower case, of a repeated header the first counts. */
+public record HttpRequest(String method, String path, String query, Map<String, String> headers, byte[] body) {
+
+  /** A header's value, or null. */
+  public String header(String name) {
+    return headers.get(name.toLowerCase(Locale.ROOT));
+  }
+
+  /** One parameter of the query, or null. */
+  public String parameter(String name) {
+    for (String part : query == null ? new String[0] : query.split("&")) {
+      if (part.startsWith(name + "=")) {
+        return java.net.URLDecoder.decode(part.substring(name.length() + 1), java.nio.charset.StandardCharsets.UTF_8);
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/list/PollSource.java
@@ -0,0 +1,144 @@
+package gapproxy.list;
+
+import gapproxy.http.HttpClient;
+import gapproxy.runtime.Loop;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Map;
+
+/**
+ * A list by long poll: each request names the index that is held, and is answered when there is a later one or after the
+ * wait it allows, as in Consul's blocking queries. A poll that stays unanswered past twice its wait counts as failed.
+ */
+public final class PollSource implements ListSource {
+  private static final Duration PAUSE = Duration.ofMillis(50);
+  private final InetSocketAddress to;
+  private final String path;
+  private final Duration wait;
+  private final Duration connectWithin;
+  private final String gateway;
+  private final HttpClient http;
+  private final Loop loop;
+  private final Listener listener;
+  private String epoch = "";
+  private long index;
+  private HttpClient.Call call;
+  private Loop.Timer limit;
+  private boolean closed;
+
+  public PollSource(URI url, Duration wait, Duration connectWithin, String gateway, HttpClient http, Loop loop,
+      Listener listener) {
+    to = new InetSocketAddress(url.getHost(), url.getPort());
+    path = url.getRawPath();
+    this.wait = wait;
+    this.connectWithin = connectWithin;
+    this.gateway = gateway;
+    this.http = http;
+    this.loop = loop;
+    this.listener = listener;
+  }
+
+  @Override
+  public void subscribe() {
+    if (call == null && !closed) {
+      poll();
+    }
+  }
+
+  private void poll() {
+    ByteArrayOutputStream body = new ByteArrayOutputStream();
+    String query = "?index=" + index + "&epoch=" + epoch + "&wait_ms=" + wait.toMillis();
+    limit = loop.after(wait.multipliedBy(2).plus(connectWithin), () -> fail("no answer within twice the wait"));
+    call = http.call(to, "GET", path + query, Map.of("x-gapproxy-gateway", gateway), new byte[0], connectWithin,
+        new HttpClient.Listener() {
+          private int status;
+
+          @Override
+          public void head(int s, Map<String, String> headers) {
+            status = s;
+          }
+
+          @Override
+          public void data(byte[] bytes) {
+            body.writeBytes(bytes);
+          }
+
+          @Override
+          public void end() {
+            limit.cancel();
+            call = null;
+            if (status != 200) {
+              fail("answered with status " + status);
+            } else {
+              take(body.toByteArray());
+            }
+          }
+
+          @Override
+          public void failed(HttpClient.Failure how, String why) {
+            limit.cancel();
+            call = null;
+            fail(why);
+          }
+        });
+  }
+
+  private void take(byte[] bytes) {
+    if (closed) {
+      return;
+    }
+    ServerList l;
+    try {
+      l = ServerList.parse(bytes);
+    } catch (ServerList.Bad e) {
+      fail(e.getMessage());
+      return;
+    }
+    boolean sameHistory = l.epoch().equals(epoch);
+    if (sameHistory && l.index() < index || !l.complete() && !sameHistory) {
+      fail("index " + l.index() + " after " + index + ", or changes to a list that is not held");
+      return;
+    }
+    boolean news = !sameHistory || l.index() > index;
+    epoch = l.epoch();
+    index = l.index();
+    if (news) {
+      listener.list(l);
+    }
+    if (news) {
+      again();
+    } else {
+      loop.after(PAUSE, this::again);                         // a service that does not wait must not be run hot
+    }
+  }
+
+  private void again() {
+    if (!closed && call == null) {
+      poll();
+    }
+  }
+
+  /** Asks for all again next time: what came between is not known. */
+  private void fail(String why) {
+    if (call != null) {
+      call.cancel();
+      call = null;
+    }
+    epoch = "";
+    index = 0;
+    if (!closed) {
+      listener.failed(why);
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    if (call != null) {
+      call.cancel();
+      limit.cancel();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/openai/Chunk.java
@@ -0,0 +1,63 @@
+package gapproxy.openai;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * One event of an answer's stream, looked at no closer than needed: those that say nothing beyond the next piece of text
+ * are relayed without being parsed.
+ */
+public record Chunk(String data, JsonNode json, boolean done) {
+  public static final String DONE = "[DONE]";
+
+  /**
+   * @param closely whether to parse in any case
+   * @throws IllegalStateException if it is not JSON
+   */
+  public static Chunk of(String data, boolean closely) {
+    if (data.equals(DONE)) {
+      return new Chunk(data, null, true);
+    }
+    if (!closely && !data.contains("\"usage\"") && !data.contains("\"error\"")
+        && (data.contains("\"finish_reason\":null") || !data.contains("\"finish_reason\""))) {
+      return new Chunk(data, null, false);
+    }
+    try {
+      JsonNode json = ChatRequest.JSON.readTree(data);
+      if (json == null || !json.isObject()) {
+        throw new IllegalStateException("an event that is no JSON object");
+      }
+      return new Chunk(data, json, false);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("an event that is not JSON", e);
+    }
+  }
+
+  public boolean error() {
+    return json != null && json.hasNonNull("error");
+  }
+
+  /** Whether it carries a piece of the answer, not only a role. */
+  public boolean hasToken() {
+    if (json == null) {
+      return !done;
+    }
+    JsonNode delta = json.path("choices").path(0).path("delta");
+    return delta.path("content").asText("").length() > 0 || delta.hasNonNull("tool_calls")
+        || delta.path("reasoning_content").asText("").length() > 0;
+  }
+
+  public boolean finished() {
+    return json != null && json.path("choices").path(0).hasNonNull("finish_reason");
+  }
+
+  /** The usage, or null. */
+  public JsonNode usage() {
+    return json != null && json.hasNonNull("usage") ? json.get("usage") : null;
+  }
+
+  /** Whether it holds usage and nothing else. */
+  public boolean usageOnly() {
+    return usage() != null && json.path("choices").isEmpty();
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/runtime/LiveNet.java
@@ -0,0 +1,101 @@
+package gapproxy.runtime;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Supplier;
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.filterchain.Filter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+
+/** Connections over TCP by Grizzly. */
+public final class LiveNet implements Net, AutoCloseable {
+  private final TCPNIOTransport transport;
+
+  /** @param selectors threads that read, decode and write what could not be written at once */
+  public LiveNet(String name, int selectors) throws IOException {
+    transport = TCPNIOTransportBuilder.newInstance().setName(name).setIOStrategy(SameThreadIOStrategy.getInstance())
+        .setSelectorRunnersCount(selectors).setReuseAddress(true).setTcpNoDelay(true).setKeepAlive(true)
+        .setServerConnectionBackLog(4096).setReadBufferSize(32 << 10).build();
+    transport.getAsyncQueueIO().getWriter().setMaxPendingBytesPerConnection(-1); // bounded above, by its owner
+    transport.start();
+  }
+
+  private FilterChain chain(Supplier<List<Filter>> filters) {
+    return FilterChainBuilder.stateless().add(new TransportFilter()).addAll(filters.get()).build();
+  }
+
+  @Override
+  public Port listen(InetSocketAddress at, Supplier<List<Filter>> filters) throws IOException {
+    var binding = TCPNIOBindingHandler.builder(transport)
+        .processor(chain(filters)).build();
+    TCPNIOServerConnection server = binding.bind(at, 4096);
+    InetSocketAddress bound = (InetSocketAddress) server.getLocalAddress();
+    return new Port() {
+      @Override
+      public InetSocketAddress address() {
+        return bound;
+      }
+
+      @Override
+      public void close() {
+        server.closeSilently();
+      }
+    };
+  }
+
+  @Override
+  public void connect(InetSocketAddress to, Supplier<List<Filter>> filters, Connected then) {
+    TCPNIOConnectorHandler by = TCPNIOConnectorHandler.builder(transport).processor(chain(filters)).build();
+    CompletionHandler<Connection> handler = new EmptyCompletionHandler<>() {
+      @Override
+      public void completed(Connection c) {
+        then.open(c);
+      }
+
+      @Override
+      public void failed(Throwable why) {
+        then.failed(why instanceof IOException io ? io : new IOException(why));
+      }
+
+      @Override
+      public void cancelled() {
+        then.failed(new IOException("connect was cancelled"));
+      }
+    };
+    by.connect(to, handler);
+  }
+
+  @Override
+  public void reading(Connection<?> connection, boolean on) {
+    try {
+      if (on) {
+        connection.enableIOEvent(IOEvent.READ);
+      } else {
+        connection.disableIOEvent(IOEvent.READ);
+      }
+    } catch (IOException e) {
+      connection.closeSilently();                             // it was going away already
+    }
+  }
+
+  @Override
+  public void close() {
+    try {
+      transport.shutdownNow();
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/runtime/Net.java
@@ -0,0 +1,39 @@
+package gapproxy.runtime;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Supplier;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.Filter;
+
+/** Byte connections. The filters given stand above the transport's own and are the same on any transport. */
+public interface Net {
+  /** A bound port. */
+  interface Port {
+    InetSocketAddress address();
+
+    /** Takes no further connection; open ones stay. */
+    void close();
+  }
+
+  /** What came of a connect; called on any thread, once. */
+  interface Connected {
+    void open(Connection<?> connection);
+
+    void failed(IOException why);
+  }
+
+  /**
+   * Binds a port; 0 takes any free one.
+   *
+   * @throws IOException if the address can't be bound
+   */
+  Port listen(InetSocketAddress at, Supplier<List<Filter>> filters) throws IOException;
+
+  /** Connects; whoever calls sets the time limit and closes what opens after it. */
+  void connect(InetSocketAddress to, Supplier<List<Filter>> filters, Connected then);
+
+  /** Whether bytes may be taken from a connection for now; a paused one holds its peer back. */
+  void reading(Connection<?> connection, boolean on);
+}
--- /dev/null
+++ b/src/main/java/gapproxy/standin/Faults.java
@@ -0,0 +1,35 @@
+package gapproxy.standin;
+
+import java.time.Duration;
+
+/** What is wrong with an engine at present; a script turns these on and off. */
+public final class Faults {
+  /** All work takes so many times as long. */
+  public double slow = 1;
+  /** This part of its forwards ends at once with status 500. */
+  public double failShare;
+  /** This part of its forwards ends with the connection, after the work has begun. */
+  public double resetShare;
+  /** Takes requests and never answers, load requests included. */
+  public boolean silent;
+  /** Does the work and answers load requests, but no forward is ever answered. */
+  public boolean loseAnswers;
+  /** The first request on each connection waits so long. */
+  public Duration handshake = Duration.ZERO;
+  /** Load is reported as it was so long ago. */
+  public Duration reportLate = Duration.ZERO;
+  /** States come over the wire so many times slower. */
+  public double slowLinks = 1;
+
+  public void clear() {
+    Faults none = new Faults();
+    slow = none.slow;
+    failShare = none.failShare;
+    resetShare = none.resetShare;
+    silent = none.silent;
+    loseAnswers = none.loseAnswers;
+    handshake = none.handshake;
+    reportLate = none.reportLate;
+    slowLinks = none.slowLinks;
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/standin/ListService.java
@@ -0,0 +1,100 @@
+package gapproxy.standin;
+
+import gapproxy.audit.Traffic;
+import gapproxy.http.Caps;
+import gapproxy.http.Exchange;
+import gapproxy.http.HttpServer;
+import gapproxy.list.ServerList;
+import gapproxy.runtime.Loop;
+import gapproxy.runtime.Net;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** An imitation list service, by long poll: late by a set time, and deaf where a script says so. */
+public final class ListService implements HttpServer.Handler {
+  private final Loop loop;
+  private final Traffic traffic;
+  private final String epoch;
+  private final TreeMap<Long, ServerList.Entry> servers = new TreeMap<>();
+  private final List<Runnable> waiting = new ArrayList<>();
+  private final Map<Long, Duration> late = new HashMap<>();
+  private HttpServer server;
+  private long index = 1;
+  public Duration lateness = Duration.ZERO;
+  public boolean failing;
+
+  public ListService(Loop loop, Traffic traffic, String epoch) {
+    this.loop = loop;
+    this.traffic = traffic;
+    this.epoch = epoch;
+  }
+
+  public void start(Net net, InetSocketAddress at) throws IOException {
+    server = HttpServer.open(loop, net, at, Caps.DEFAULT, this);
+  }
+
+  public InetSocketAddress address() {
+    return server.address();
+  }
+
+  public void close() {
+    server.kill();
+  }
+
+  /** Says something of a server; gateways hear of it after the lateness, in order. */
+  public void set(ServerList.Entry e) {
+    Duration due = loop.now().plus(lateness);
+    Duration last = late.getOrDefault(0L, Duration.ZERO);
+    Duration at = due.compareTo(last) > 0 ? due : last;
+    late.put(0L, at);
+    loop.after(at.minus(loop.now()), () -> {
+      servers.put(e.id(), e);
+      index++;
+      List<Runnable> now = List.copyOf(waiting);
+      waiting.clear();
+      now.forEach(Runnable::run);
+    });
+  }
+
+  @Override
+  public void handle(Exchange x, Object decoded) {
+    long held = number(x.request.parameter("index"));
+    if (failing) {
+      x.respond(503, Map.of(), new byte[0]);
+    } else if (held < index || !epoch.equals(x.request.parameter("epoch"))) {
+      give(x);
+    } else {
+      boolean[] done = new boolean[1];
+      Runnable once = () -> {
+        if (!done[0]) {
+          done[0] = true;
+          give(x);
+        }
+      };
+      waiting.add(once);
+      loop.after(Duration.ofMillis(number(x.request.parameter("wait_ms"))), once);
+    }
+  }
+
+  private static long number(String s) {
+    return s == null || !s.matches("\\d{1,12}") ? 0 : Long.parseLong(s);
+  }
+
+  private void give(Exchange x) {
+    if (!x.open()) {
+      return;
+    }
+    String gateway = String.valueOf(x.request.header("x-gapproxy-gateway"));
+    servers.values().forEach(e ->
+        traffic.told(loop.now(), gateway, e.id(), e.state() == ServerList.State.READY));
+    List<ServerList.Entry> listed =
+        servers.values().stream().filter(e -> e.state() != ServerList.State.GONE).toList();
+    x.respond(200, Map.of("content-type", "application/json"), new ServerList(epoch, index, true, listed).bytes());
+  }
+}
