--- a/src/main/java/gapproxy/audit/Audit.java
+++ b/src/main/java/gapproxy/audit/Audit.java
@@ -207,7 +207,12 @@
     String name = name(id);
     out.merge(name, 1, Integer::sum);
     forwards.put(id, gateway);
-    holds.values().stream().filter(h -> h.req.equals(name)).forEach(h -> h.idle = null);
+    holds.forEach((held, h) -> {
+      if (h.req.equals(name)) {
+        judge(at, h, held);
+        h.idle = null;
+      }
+    });
   }
 
   /** The gateway's name of the req, from a forward's or a place's id. */
@@ -276,7 +281,7 @@
   /** What was found up to now; reqs without an answer count as lost. */
   public Report finish(Duration at) {
     tries.forEach((name, t) -> {
-      if (!t.over && alive(t) && (t.begun == null && at.compareTo(t.due.plus(figures.slack)) > 0)) {
+      if (!t.over && alive(t) && at.compareTo(t.due.plus(figures.slack)) > 0) {
         broken(1, at, name + ": no final answer");
       }
     });
--- /dev/null
+++ b/src/main/java/gapproxy/cli/DayCommand.java
@@ -0,0 +1,101 @@
+package gapproxy.cli;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gapproxy.audit.Audit;
+import gapproxy.config.Config;
+import gapproxy.config.ConfigErrors;
+import gapproxy.daemon.Logs;
+import gapproxy.day.Day;
+import gapproxy.day.Script;
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+@Command(name = "day", description = {"Plays a scripted day of trouble through real gateways and judges the five rules by the traffic.",
+    "Exit code 0 only where no rule broke and reqs were taken."})
+final class DayCommand implements Callable<Integer> {
+  private static final int SHOWN = 20;
+
+  @CommandLine.Spec
+  private CommandLine.Model.CommandSpec spec;
+  @Parameters(arity = "0..1", paramLabel = "NAME|FILE", description = "A day that comes with the program, or a script.")
+  private String name;
+  @Option(names = "--list", description = "Prints the names of the days that come with the program.")
+  private boolean list;
+  @Option(names = "--seed", defaultValue = "1", description = "Seed of the traffic (default: ${DEFAULT-VALUE}).")
+  private long seed;
+  @Option(names = "--seconds", defaultValue = "0", description = "Length of the day in place of the script's own.")
+  private double seconds;
+  @Option(names = "--json", description = "Prints the result as one line of JSON.")
+  private boolean json;
+  @Option(names = "--in-process", description = "Gateways in this process in place of processes of their own.")
+  private boolean inside;
+
+  @Override
+  public Integer call() throws IOException {
+    if (list) {
+      Script.names().forEach(System.out::println);
+      return 0;
+    }
+    if (name == null) {
+      throw new CommandLine.ParameterException(spec.commandLine(), "the name of a day or a script is needed");
+    }
+    if (!(seconds >= 0 && seconds <= 86400)) {
+      throw new CommandLine.ParameterException(spec.commandLine(), "--seconds: a number up to 86400");
+    }
+    Script script;
+    try {
+      script = Script.find(name);
+    } catch (ConfigErrors e) {
+      throw new Main.Failure(e.getMessage());
+    }
+    Logs.use(new Config.Log("text", "error"));
+    Day.Result r = new Day(script, seed, seconds, inside).play();
+    if (json) {
+      System.out.println(line(r));
+    } else {
+      tell(r);
+    }
+    return r.good() ? 0 : 1;
+  }
+
+  private static ObjectNode line(Day.Result r) {
+    ObjectMapper mapper = new ObjectMapper();
+    ObjectNode n = mapper.createObjectNode().put("day", r.name()).put("seed", r.seed()).put("seconds", r.seconds())
+        .put("good", r.good()).put("taken", r.audit().taken()).put("unfinished", r.audit().open())
+        .put("service", r.service()).put("first_token_p50_ms", r.p50Ms()).put("first_token_p99_ms", r.p99Ms())
+        .put("remote", r.remote()).put("local", r.local()).put("longest_held_ms", r.audit().longestHeldMs())
+        .put("stopped_well", r.stopped());
+    n.set("ends", mapper.valueToTree(r.audit().ends()));
+    ObjectNode broken = n.putObject("broken");
+    for (int i = 1; i <= 5; i++) {
+      broken.put("rule" + i, r.audit().counts()[i]);
+    }
+    var first = n.putArray("first");
+    r.audit().broken().stream().limit(SHOWN).forEach(b ->
+        first.addObject().put("rule", b.rule()).put("at_ms", b.at().toMillis()).put("what", b.what()));
+    return n;
+  }
+
+  private static void tell(Day.Result r) {
+    Audit.Report a = r.audit();
+    System.out.printf("day %s, seed %d, %.0f s: %s%n", r.name(), r.seed(), r.seconds(),
+        r.good() ? "all rules kept" : a.taken() == 0 ? "no req was taken" : !a.kept() ? "rules broken"
+            : "a gateway did not stop well");
+    System.out.printf("taken %d, ends %s, unfinished %d%n", a.taken(), new java.util.TreeMap<>(a.ends()), a.open());
+    System.out.printf("service %.3f, first token p50 %.1f ms, p99 %.1f ms; read remotely %d, at the writer %d%n",
+        r.service(), r.p50Ms(), r.p99Ms(), r.remote(), r.local());
+    System.out.printf("longest held with no forward out %d ms%n", a.longestHeldMs());
+    for (int i = 1; i <= 5; i++) {
+      if (a.counts()[i] > 0) {
+        System.out.printf("rule %d broken %d times%n", i, a.counts()[i]);
+      }
+    }
+    a.broken().stream().limit(SHOWN).forEach(b ->
+        System.out.printf("  rule %d at %.3f s: %s%n", b.rule(), b.at().toMillis() / 1000.0, b.what()));
+  }
+}
--- a/src/main/java/gapproxy/cli/DemoCommand.java
+++ b/src/main/java/gapproxy/cli/DemoCommand.java
@@ -1,6 +1,8 @@
 package gapproxy.cli;
 
+import gapproxy.config.Config;
 import gapproxy.daemon.Demo;
+import gapproxy.daemon.Logs;
 import java.io.IOException;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
@@ -18,6 +20,7 @@
     if (port < 0 || port > 65535) {
       throw new Main.Failure("--port: 0 to 65535");
     }
+    Logs.use(new Config.Log("text", "warn"));
     Demo demo;
     try {
       demo = new Demo(port);
--- a/src/main/java/gapproxy/config/Config.java
+++ b/src/main/java/gapproxy/config/Config.java
@@ -54,8 +54,8 @@
 
   @JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
   public record Bounds(int forwards, boolean cancel, boolean copies, boolean probes, boolean retryAdvice,
-      double longestRetryAdviceMs, int connectMs, int probeMs, double tickMs, int longestAnswerMs, int stopMs,
-      int openReqs) {}
+      double longestRetryAdviceMs, int connectMs, int probeMs, double tickMs, int longestAnswerMs, int tokenGapMs,
+      int stopMs, int openReqs) {}
 
   @JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
   public record Http(int headBytes, int headers, int bodyBytes, int outBytes, int idleMs, int arriveMs,
--- a/src/main/java/gapproxy/daemon/Node.java
+++ b/src/main/java/gapproxy/daemon/Node.java
@@ -2,6 +2,7 @@
 
 import gapproxy.config.Config;
 import gapproxy.gateway.Gateway;
+import gapproxy.openai.ChatRequest;
 import gapproxy.runtime.LiveDisk;
 import gapproxy.runtime.LiveLoop;
 import gapproxy.runtime.LiveNet;
@@ -33,6 +34,7 @@
    * @throws IOException if its port can't be bound
    */
   public static Node start(Config config) throws IOException {
+    warmUp();
     Node n = new Node(config);
     IOException[] failed = new IOException[1];
     n.loop.call(() -> {
@@ -50,6 +52,13 @@
     return n;
   }
 
+  /** Loads what the first req would else wait for: the tokenizer's tables take some hundred milliseconds. */
+  private static void warmUp() {
+    byte[] some = "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"Some text.\"}]}"
+        .getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    ChatRequest.parse(some);
+  }
+
   public InetSocketAddress address() {
     return address;
   }
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -365,6 +365,7 @@
         prompt = usage.path("prompt_tokens").asLong(0);
         r.tokens = usage.path("completion_tokens").asLong(r.tokens);
       }
+      r.lastChunk = loop.now();
       if (!f.begun && (c.hasToken() || c.finished())) {
         begin(f);
       }
@@ -438,20 +439,36 @@
     f.begun = true;
     r.begun = f;
     f.limit.cancel();
-    r.limit.cancel();
-    r.limit = loop.after(Config.span(config.limits().longestAnswerMs()), () -> {
-      f.call.cancel();
-      broken(f, Outcome.TIMED_OUT, "the answer took longer than the settings allow");
-    });
+    r.lastChunk = loop.now();
+    watch(f);
     r.firstToken = loop.now().minus(r.taken);
     r.state = null;
     r.place = null;
     if (r.chat.stream()) {
+      r.limit.cancel();                                       // an answer that has begun has no deadline
+      r.limit = loop.after(Config.span(config.limits().longestAnswerMs()),
+          () -> broken(f, Outcome.TIMED_OUT, "the answer took longer than the settings allow"));
       r.exchange.begin(200, headers(r, "text/event-stream"));
     }
     pending.add(new Event.FirstToken(r.number, f.number, loop.now().minus(f.sent), f.at.id()));
   }
 
+  /** Guards against an engine that falls silent in the midst of an answer; a client that reads slowly is not its fault. */
+  private void watch(Req.Forward f) {
+    Duration most = Config.span(config.limits().tokenGapMs());
+    Duration left = f.req.lastChunk.plus(most).minus(loop.now());
+    f.limit = loop.after(left.isNegative() ? most : left, () -> {
+      if (f.req.paused) {
+        f.req.lastChunk = loop.now();
+      }
+      if (loop.now().minus(f.req.lastChunk).compareTo(most) >= 0) {
+        broken(f, Outcome.TIMED_OUT, "the engine sent nothing for " + most.toMillis() + " ms");
+      } else {
+        watch(f);
+      }
+    });
+  }
+
   private static void relay(Req.Forward f) {
     if (f.relay.length() > 0) {
       f.req.exchange.write(f.relay.toString());
@@ -492,7 +509,8 @@
 
   /** A stream that breaks after its first token ends the req. */
   private void broken(Req.Forward f, Outcome how, String why) {
-    abort(f.req, how == Outcome.TIMED_OUT ? 'T' : 'E', why, 502, "stream_broken");
+    boolean late = how == Outcome.TIMED_OUT;
+    abort(f.req, late ? 'T' : 'E', why, late ? 504 : 502, late ? "timeout" : "stream_broken");
     end(f, how, 0, why);
   }
 
@@ -654,7 +672,9 @@
 
   /** Guards against a req that the decisions left without an answer: that is a fault of ours, and is logged as one. */
   private void overdue(Req r) {
-    if (!r.answered) {
+    if (!r.answered && r.begun != null) {                     // an answer asked for whole that did not get whole in time
+      broken(r.begun, Outcome.TIMED_OUT, "the answer was not whole within the budget");
+    } else if (!r.answered) {
       counts.overdue++;
       LOG.atError().addKeyValue("req", r.name).addKeyValue("stage", r.stage()).log("no final answer in time");
       abort(r, 'T', "no answer in time", 504, "timeout");
--- a/src/main/java/gapproxy/gateway/Req.java
+++ b/src/main/java/gapproxy/gateway/Req.java
@@ -66,7 +66,7 @@
   Loop.Timer limit;
   boolean answered;
   boolean paused;
-  Duration firstToken, readEnd;
+  Duration firstToken, readEnd, lastChunk;
   long tokens;
 
   Req(long number, String name, Exchange exchange, ChatRequest chat, Config.Group group, String key, Duration taken,
--- a/src/main/java/gapproxy/http/HttpServer.java
+++ b/src/main/java/gapproxy/http/HttpServer.java
@@ -248,7 +248,6 @@
           loop.execute(() -> w.arrived(p, r, decoded));
         }
       }
-      b.tryDispose();
       return ctx.getStopAction();
     }
 
--- a/src/main/java/gapproxy/http/Strict.java
+++ b/src/main/java/gapproxy/http/Strict.java
@@ -8,7 +8,6 @@
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.KeepAlive;
-import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 
@@ -17,6 +16,7 @@
  * together with chunks, codings that this end does not know (RFC 9112, sections 6.1 and 6.3).
  */
 final class Strict extends HttpServerFilter {
+  private static final String LENGTH = "content-length:", CODING = "transfer-encoding:";
   private final IntFunction<byte[]> errors;
 
   /** @param errors the body that explains a status */
@@ -34,29 +34,50 @@
     return k;
   }
 
+  /** Looks at the head as it came: the codec itself drops a length that stands before a coding. */
   @Override
-  protected void onHttpHeadersParsed(HttpHeader head, MimeHeaders headers, FilterChainContext ctx) {
-    int lengths = 0;
-    int codings = 0;
-    for (int i = 0; i < headers.size(); i++) {
-      String name = headers.getName(i).toString();
-      if (name.equalsIgnoreCase("content-length")) {
-        lengths++;
-        String value = headers.getValue(i).toString().trim();
-        if (value.isEmpty() || value.length() > 18 || !value.chars().allMatch(c -> c >= '0' && c <= '9')) {
-          throw new IllegalStateException("content-length is not a number");
-        }
-      } else if (name.equalsIgnoreCase("transfer-encoding")) {
-        codings++;
-        if (!headers.getValue(i).toString().trim().equalsIgnoreCase("chunked")) {
-          throw new IllegalStateException("unknown transfer coding");
-        }
+  protected boolean onHttpHeaderParsed(HttpHeader head, Buffer in, FilterChainContext ctx) {
+    int statements = 0;
+    int line = 0;
+    for (int i = 0; i < in.position(); i++) {
+      if (in.get(i) != '\n') {
+        continue;
       }
+      String value = starts(in, line, i, LENGTH) ? value(in, line + LENGTH.length(), i) : null;
+      if (value != null && (value.isEmpty() || value.length() > 18 || !value.chars().allMatch(c -> c >= '0' && c <= '9'))) {
+        throw new IllegalStateException("content-length is not a number");
+      }
+      String coding = starts(in, line, i, CODING) ? value(in, line + CODING.length(), i) : null;
+      if (coding != null && !coding.equalsIgnoreCase("chunked")) {
+        throw new IllegalStateException("unknown transfer coding");
+      }
+      statements += value != null || coding != null ? 1 : 0;
+      line = i + 1;
     }
-    if (lengths + codings > 1) {
+    if (statements > 1) {
       throw new IllegalStateException("more than one statement of the body's length");
     }
-    super.onHttpHeadersParsed(head, headers, ctx);
+    return super.onHttpHeaderParsed(head, in, ctx);
+  }
+
+  private static boolean starts(Buffer in, int from, int to, String name) {
+    if (to - from < name.length()) {
+      return false;
+    }
+    for (int i = 0; i < name.length(); i++) {
+      if (Character.toLowerCase((char) (in.get(from + i) & 0xff)) != name.charAt(i)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static String value(Buffer in, int from, int to) {
+    StringBuilder s = new StringBuilder();
+    for (int i = from; i < to; i++) {
+      s.append((char) (in.get(i) & 0xff));
+    }
+    return s.toString().trim();
   }
 
   @Override
--- a/src/main/java/gapproxy/runtime/LiveLoop.java
+++ b/src/main/java/gapproxy/runtime/LiveLoop.java
@@ -96,7 +96,7 @@
     idle.add(work);
   }
 
-  /** Posts work and waits for it; for the threads that start and stop a process. */
+  /** Posts work and waits for it, or for the loop's end; for the threads that start and stop a process. */
   public void call(Runnable work) {
     CountDownLatch done = new CountDownLatch(1);
     execute(() -> {
@@ -107,7 +107,9 @@
       }
     });
     try {
-      done.await();
+      while (!done.await(20, TimeUnit.MILLISECONDS) && ended.getCount() > 0) {
+        continue;                                             // a loop that has ended runs nothing more
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/src/main/java/gapproxy/standin/Engine.java
+++ b/src/main/java/gapproxy/standin/Engine.java
@@ -281,6 +281,9 @@
       return;
     }
     HttpRequest q = x.request;
+    if (faults.cutOff.contains(String.valueOf(q.header("x-gapproxy-gateway")))) {
+      return;
+    }
     if (decoded instanceof ApiError e) {
       error(x, e);
     } else if (decoded instanceof ChatRequest chat) {
--- a/src/main/java/gapproxy/standin/Faults.java
+++ b/src/main/java/gapproxy/standin/Faults.java
@@ -18,6 +18,8 @@
   public Duration handshake = Duration.ZERO;
   /** Load is reported as it was so long ago. */
   public Duration reportLate = Duration.ZERO;
+  /** Gateways from which nothing comes through: requests are taken and stay unanswered. */
+  public java.util.Set<String> cutOff = java.util.Set.of();
   /** States come over the wire so many times slower. */
   public double slowLinks = 1;
 
@@ -31,5 +33,6 @@
     handshake = none.handshake;
     reportLate = none.reportLate;
     slowLinks = none.slowLinks;
+    cutOff = none.cutOff;
   }
 }
