--- a/src/main/java/gapproxy/standin/Engine.java
+++ b/src/main/java/gapproxy/standin/Engine.java
@@ -199,13 +199,18 @@
     List.copyOf(waiting).forEach(this::end);
     waiting.clear();
     running.clear();
-    List.copyOf(states.keySet()).forEach(id -> free(states, id, false));
-    List.copyOf(places.keySet()).forEach(id -> free(places, id, false));
+    lose();
     kept.clear();
     keys.clear();
     used = 0;
   }
 
+  /** Drops every state and place that it holds, as an engine short of memory may. */
+  public void lose() {
+    List.copyOf(states.keySet()).forEach(id -> free(states, id, false));
+    List.copyOf(places.keySet()).forEach(id -> free(places, id, false));
+  }
+
   /** Forgets the prompts that it kept. */
   public void flush() {
     kept.clear();
--- /dev/null
+++ b/src/test/java/gapproxy/ArchitectureTest.java
@@ -0,0 +1,45 @@
+package gapproxy;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** The arrows of docs/gateway.md: imports run one way, and only the runtime knows the machine. */
+@AnalyzeClasses(packages = "gapproxy", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTest {
+  @ArchTest
+  static final ArchRule FLOORS = layeredArchitecture().consideringOnlyDependenciesInLayers()
+      .layer("module").definedBy("gapproxy").layer("api").definedBy("gapproxy.api..")
+      .layer("benchlink").definedBy("gapproxy.benchlink..").layer("runtime").definedBy("gapproxy.runtime..")
+      .layer("config").definedBy("gapproxy.config..").layer("http").definedBy("gapproxy.http..")
+      .layer("wires").definedBy("gapproxy.openai..", "gapproxy.engine..", "gapproxy.list..")
+      .layer("gateway").definedBy("gapproxy.gateway..").layer("audit").definedBy("gapproxy.audit..")
+      .layer("standin").definedBy("gapproxy.standin..").layer("daemon").definedBy("gapproxy.daemon..")
+      .layer("day").definedBy("gapproxy.day..").layer("cli").definedBy("gapproxy.cli..")
+      .whereLayer("module").mayOnlyBeAccessedByLayers("gateway", "benchlink")
+      .whereLayer("api").mayOnlyBeAccessedByLayers("module", "benchlink", "config", "gateway")
+      .whereLayer("benchlink").mayOnlyBeAccessedByLayers("cli")
+      .whereLayer("config").mayOnlyBeAccessedByLayers("gateway", "daemon", "day", "cli")
+      .whereLayer("http").mayOnlyBeAccessedByLayers("wires", "gateway", "standin", "day")
+      .whereLayer("gateway").mayOnlyBeAccessedByLayers("daemon")
+      .whereLayer("audit").mayOnlyBeAccessedByLayers("standin", "daemon", "day", "cli")
+      .whereLayer("standin").mayOnlyBeAccessedByLayers("daemon", "day")
+      .whereLayer("daemon").mayOnlyBeAccessedByLayers("day", "cli")
+      .whereLayer("day").mayOnlyBeAccessedByLayers("cli")
+      .whereLayer("cli").mayNotBeAccessedByAnyLayer();
+
+  @ArchTest
+  static final ArchRule MACHINE = noClasses()
+      .that().resideOutsideOfPackages("gapproxy.runtime..", "gapproxy.daemon..", "gapproxy.day..", "gapproxy.cli..")
+      .should().dependOnClassesThat().haveFullyQualifiedName("java.lang.Thread")
+      .orShould().dependOnClassesThat().resideInAnyPackage("java.util.concurrent.locks", "java.nio.channels")
+      .orShould().dependOnClassesThat().haveFullyQualifiedName("java.util.concurrent.Executors")
+      .orShould().dependOnClassesThat().haveFullyQualifiedName("java.util.concurrent.CompletableFuture")
+      .orShould().dependOnClassesThat().haveFullyQualifiedName("java.util.Random")
+      .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+      .orShould().callMethod(java.time.Instant.class, "now");
+}
--- /dev/null
+++ b/src/test/java/gapproxy/Bed.java
@@ -0,0 +1,204 @@
+package gapproxy;
+
+import gapproxy.audit.Audit;
+import gapproxy.audit.Traffic;
+import gapproxy.config.Config;
+import gapproxy.config.ConfigReader;
+import gapproxy.daemon.Node;
+import gapproxy.http.HttpClient;
+import gapproxy.list.ServerList;
+import gapproxy.runtime.LiveLoop;
+import gapproxy.runtime.LiveNet;
+import gapproxy.standin.ChatClient;
+import gapproxy.standin.ChatClient.Ask;
+import gapproxy.standin.Engine;
+import gapproxy.standin.Fleet;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/** Engines, a list and gateways on loopback in this process, for tests of the whole. */
+public final class Bed implements AutoCloseable {
+  public static final Duration BUDGET = Duration.ofSeconds(5);
+  public final LiveLoop loop = new LiveLoop("bed");
+  public final Audit audit = new Audit(new Audit.Figures(Duration.ofMillis(500), Duration.ofSeconds(1),
+      Duration.ofSeconds(10), Duration.ofMillis(400)));
+  public final List<Node> nodes = new ArrayList<>();
+  public final Fleet fleet;
+  public final ChatClient clients;
+  public final LiveNet net;
+  public final Config config;
+  private int asks;
+
+  /** @param more settings beside the usual ones, each with a comma before it */
+  public Bed(int gateways, int readers, int writers, String more) throws Exception {
+    net = new LiveNet("bed-net", 2);
+    fleet = on(() -> {
+      try {
+        return new Fleet(new Fleet.Size(1, 1, readers, writers, 1), loop, net, audit, 1, "bed");
+      } catch (IOException e) {
+        throw new IllegalStateException(e);
+      }
+    });
+    clients = new ChatClient(loop, new HttpClient(loop, net, Duration.ofSeconds(5)), audit);
+    config = ConfigReader.parse(settings("g0", gateways, more), "bed");
+    for (int i = 0; i < gateways; i++) {
+      String name = "g" + i;
+      on(() -> {
+        audit.gateway(loop.now(), name, true);
+        return null;
+      });
+      nodes.add(Node.start(ConfigReader.parse(settings(name, gateways, more), "bed")));
+    }
+    for (Node n : nodes) {
+      until("a gateway has its list", () -> ask(new Ask("warm" + asks, "draft", "replayable", true, "", null, "hi", 1, BUDGET,
+          null, 0, 0, false), n).how() == Traffic.Answer.DONE);
+    }
+  }
+
+  private String settings(String name, int gateways, String more) {
+    return """
+        {"name": "%s", "listen": {"port": 0}, "zones": ["zone0"], "gateways": %d,
+         "groups": [{"name": "draft", "models": ["draft"], "deadline_ms": 5000},
+                    {"name": "order", "models": ["order"], "repeat": "non_replayable", "deadline_ms": 5000}],
+         "kinds": [{"name": "reader", "role": "read", "memory_tokens": 250000},
+                   {"name": "writer", "role": "write", "memory_tokens": 200000}],
+         "rules": {"drain_grace_ms": 500},
+         "list": {"url": "http://127.0.0.1:%d/v1/servers", "wait_ms": 500, "ask_within_ms": 800}%s}
+        """.formatted(name, gateways, fleet.list.address().getPort(), more);
+  }
+
+  public InetSocketAddress address() {
+    return nodes.get(0).address();
+  }
+
+  /** A value from the bed's loop. */
+  public <T> T on(Supplier<T> what) {
+    CompletableFuture<T> f = new CompletableFuture<>();
+    loop.execute(() -> {
+      try {
+        f.complete(what.get());
+      } catch (RuntimeException e) {
+        f.completeExceptionally(e);
+      }
+    });
+    return f.join();
+  }
+
+  public static String words(int n) {
+    return "word ".repeat(n);
+  }
+
+  /** An usual req of so many words; long ones are read remotely. */
+  public Ask req(int words, int answer) {
+    return new Ask("r" + asks++, "draft", "replayable", true, "", null, "case " + asks + " " + words(words), answer, BUDGET,
+        null, 0, 0, false);
+  }
+
+  public CompletableFuture<ChatClient.Outcome> send(Ask a, Node to) {
+    CompletableFuture<ChatClient.Outcome> f = new CompletableFuture<>();
+    loop.execute(() -> clients.ask(a, () -> new ChatClient.Target("g" + nodes.indexOf(to), to.address()), f::complete));
+    return f;
+  }
+
+  public CompletableFuture<ChatClient.Outcome> send(Ask a) {
+    return send(a, nodes.get(0));
+  }
+
+  public ChatClient.Outcome ask(Ask a, Node to) {
+    try {
+      return send(a, to).get(20, TimeUnit.SECONDS);
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  public List<Engine> engines(String role) {
+    return fleet.engines().stream().filter(e -> e.spec.role().equals(role)).toList();
+  }
+
+  public int held() {
+    return on(() -> fleet.engines().stream().mapToInt(Engine::held).sum());
+  }
+
+  public void say(Engine e, ServerList.State state) {
+    on(() -> {
+      fleet.say(e, state);
+      return null;
+    });
+  }
+
+  /** Waits for a condition, 10 s at most. */
+  public static void until(String what, BooleanSupplier holds) throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+    while (!holds.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("not within 10 s: " + what);
+      }
+      Thread.sleep(2);
+    }
+  }
+
+  /** Waits until no gateway has a req in hand and no engine holds anything. */
+  public void untilEmpty() throws InterruptedException {
+    for (Node n : nodes) {
+      int[] open = new int[1];
+      until("no req in hand at " + n.address(), () -> {
+        n.loop().call(() -> open[0] = n.gateway().open());
+        return open[0] == 0;
+      });
+    }
+    until("nothing held", () -> held() == 0);
+  }
+
+  /** What the audit has found; also that nothing is left behind. */
+  public Audit.Report settle() throws InterruptedException {
+    untilEmpty();
+    return on(() -> audit.finish(loop.now()));
+  }
+
+  /** Sends bytes as they are, and gives what comes back until the peer closes or is quiet. */
+  public static String raw(InetSocketAddress to, int quietMs, byte[]... parts) throws IOException {
+    try (Socket s = new Socket()) {
+      s.connect(to);
+      s.setSoTimeout(quietMs);
+      s.setTcpNoDelay(true);
+      for (byte[] p : parts) {
+        s.getOutputStream().write(p);
+        s.getOutputStream().flush();
+      }
+      ByteArrayOutputStream all = new ByteArrayOutputStream();
+      byte[] b = new byte[65536];
+      try {
+        for (int n = s.getInputStream().read(b); n >= 0; n = s.getInputStream().read(b)) {
+          all.write(b, 0, n);
+        }
+        all.writeBytes("<closed>".getBytes(StandardCharsets.UTF_8));
+      } catch (SocketTimeoutException e) {
+        all.writeBytes("<open>".getBytes(StandardCharsets.UTF_8));
+      }
+      return all.toString(StandardCharsets.UTF_8);
+    }
+  }
+
+  @Override
+  public void close() {
+    nodes.forEach(Node::close);
+    on(() -> {
+      fleet.close();
+      return null;
+    });
+    loop.close();
+    net.close();
+  }
+}
--- /dev/null
+++ b/src/test/java/gapproxy/gateway/HardCasesTest.java
@@ -0,0 +1,271 @@
+package gapproxy.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gapproxy.Bed;
+import gapproxy.audit.Audit;
+import gapproxy.audit.Traffic.Answer;
+import gapproxy.daemon.Node;
+import gapproxy.list.ServerList.State;
+import gapproxy.standin.ChatClient.Ask;
+import gapproxy.standin.ChatClient.Outcome;
+import gapproxy.standin.Engine;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** The cases in which a gateway loses reqs, holds or streams if it is not careful. */
+class HardCasesTest {
+  private static final int REMOTE = 2000;                     // words that are read remotely
+
+  private static void kept(Bed bed) throws InterruptedException {
+    Audit.Report r = bed.settle();
+    assertEquals(List.of(), r.broken());
+    assertEquals(0, r.open());
+  }
+
+  private static Ask leaving(Ask a, Duration after, int atToken) {
+    return new Ask(a.req(), a.model(), a.repeat(), a.stream(), a.system(), a.session(), a.text(), a.answer(), a.budget(),
+        after, atToken, 0, false);
+  }
+
+  private static Outcome get(CompletableFuture<Outcome> f) throws Exception {
+    return f.get(20, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void bothPathsStreamAndComplete() throws Exception {
+    try (Bed bed = new Bed(1, 2, 2, "")) {
+      Outcome local = get(bed.send(bed.req(20, 5)));
+      assertEquals("local", local.path());
+      assertEquals("w0 w1 w2 w3 w4", local.text());
+      Ask a = bed.req(REMOTE, 3);
+      Outcome whole = get(bed.send(new Ask(a.req(), a.model(), a.repeat(), false, "", null, a.text(), 3, Bed.BUDGET, null, 0,
+          0, false)));
+      assertEquals("remote", whole.path());
+      assertEquals("w0 w1 w2", whole.text());
+      kept(bed);
+    }
+  }
+
+  @Test
+  void aClientThatLeavesAtAnyMomentLeavesNothingBehind() throws Exception {
+    try (Bed bed = new Bed(1, 2, 2, "")) {
+      bed.engines("read").forEach(e -> e.faults.slow = 3);    // so that the moments before, in and after the read are met
+      List<CompletableFuture<Outcome>> all = new ArrayList<>();
+      for (int ms = 0; ms < 400; ms += 8) {
+        all.add(bed.send(leaving(bed.req(REMOTE, 6), Duration.ofMillis(ms), 0)));
+        Thread.sleep(5);
+      }
+      for (int token = 1; token <= 6; token++) {              // the last one in the moment of the last token
+        all.add(bed.send(leaving(bed.req(20, 6), null, token)));
+      }
+      for (CompletableFuture<Outcome> f : all) {
+        get(f);
+      }
+      kept(bed);
+    }
+  }
+
+  @Test
+  void aWriterThatDrainsEndsItsStreamsAndGetsNothingNew() throws Exception {
+    try (Bed bed = new Bed(1, 0, 2, "")) {
+      List<CompletableFuture<Outcome>> streams = new ArrayList<>();
+      for (int i = 0; i < 8; i++) {
+        streams.add(bed.send(bed.req(20, 120)));
+      }
+      Engine w = bed.engines("write").get(0);
+      Bed.until("it writes", () -> bed.on(w::written) > 10);
+      bed.say(w, State.DRAINING);
+      for (CompletableFuture<Outcome> f : streams) {
+        assertEquals(Answer.DONE, get(f).how());
+      }
+      Thread.sleep(600);                                      // past the grace, the audit takes what still comes amiss
+      for (int i = 0; i < 10; i++) {
+        assertEquals(Answer.DONE, get(bed.send(bed.req(20, 2))).how());
+      }
+      kept(bed);
+    }
+  }
+
+  @Test
+  void aReaderThatDiesWithAStateCostsNoAnswer() throws Exception {
+    try (Bed bed = new Bed(1, 2, 2, "")) {
+      bed.engines("write").forEach(e -> e.faults.handshake = Duration.ofMillis(300)); // so that states wait meanwhile
+      CompletableFuture<Outcome> f = bed.send(bed.req(REMOTE, 3));
+      Bed.until("a state waits", () -> bed.held() > 0);
+      bed.on(() -> {
+        bed.engines("read").stream().filter(e -> e.held() > 0).forEach(Engine::kill);
+        return null;
+      });
+      assertEquals(Answer.DONE, get(f).how());
+      kept(bed);
+    }
+  }
+
+  @Test
+  void aStateThatIsGoneAtTheWriterIsReadAgain() throws Exception {
+    try (Bed bed = new Bed(1, 2, 2, "")) {
+      bed.engines("write").forEach(e -> e.faults.handshake = Duration.ofMillis(300));
+      CompletableFuture<Outcome> f = bed.send(bed.req(REMOTE, 3));
+      Bed.until("a state waits", () -> bed.held() > 0);
+      bed.on(() -> {
+        bed.engines("read").forEach(Engine::lose);
+        return null;
+      });
+      Outcome o = get(f);
+      assertEquals(Answer.DONE, o.how());
+      kept(bed);
+    }
+  }
+
+  @Test
+  void theBudgetEndsWhileAnOutcomeIsOnItsWay() throws Exception {
+    try (Bed bed = new Bed(1, 1, 2, "")) {
+      List<CompletableFuture<Outcome>> all = new ArrayList<>();
+      for (int ms = 30; ms < 160; ms += 2) {
+        Ask a = bed.req(REMOTE, 2);
+        all.add(bed.send(new Ask(a.req(), a.model(), a.repeat(), true, "", null, a.text(), 2, Duration.ofMillis(ms), null, 0, 0,
+            false)));
+      }
+      for (CompletableFuture<Outcome> f : all) {
+        assertNotNull(get(f).how());
+      }
+      kept(bed);
+    }
+  }
+
+  @Test
+  void silentEnginesEndInOneAnswerInTime() throws Exception {
+    try (Bed bed = new Bed(1, 1, 2, "")) {
+      bed.on(() -> {
+        bed.fleet.engines().forEach(e -> e.faults.silent = true);
+        return null;
+      });
+      List<CompletableFuture<Outcome>> all = new ArrayList<>();
+      for (int i = 0; i < 20; i++) {
+        Ask a = bed.req(i % 2 == 0 ? REMOTE : 20, 2);
+        all.add(bed.send(new Ask(a.req(), i % 3 == 0 ? "order" : "draft", i % 3 == 0 ? "non_replayable" : "replayable", true, "",
+            null, a.text(), 2, Duration.ofMillis(1000), null, 0, 0, false)));
+      }
+      for (CompletableFuture<Outcome> f : all) {
+        assertNotNull(get(f).how());
+      }
+      kept(bed);
+    }
+  }
+
+  @Test
+  void aWholeAnswerThatStopsHalfWayIsAbortedWithinItsBudget() throws Exception {
+    try (Bed bed = new Bed(1, 0, 1, "")) {
+      Engine w = bed.engines("write").get(0);
+      Ask a = bed.req(20, 500);
+      CompletableFuture<Outcome> f = bed.send(new Ask(a.req(), "draft", "replayable", false, "", null, a.text(), 500,
+          Duration.ofMillis(1500), null, 0, 0, false));
+      long before = bed.on(w::written);
+      Bed.until("it writes", () -> bed.on(w::written) > before + 5);
+      w.faults.loseAnswers = true;
+      Outcome o = get(f);
+      assertEquals(Answer.ABORTED, o.how());
+      assertEquals(504, o.status());
+      kept(bed);
+    }
+  }
+
+  @Test
+  void aClientThatStopsReadingHoldsTheEngineBackAndNobodyElse() throws Exception {
+    try (Bed bed = new Bed(1, 0, 2, ", \"http\": {\"out_bytes\": 4096}")) {
+      String body = "{\"model\":\"draft\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"[[req=slow]] "
+          + "[[answer=60000]]\"}]}";
+      bed.engines("write").forEach(e -> e.faults.slow = 0.001);
+      long before = bed.on(() -> bed.engines("write").stream().mapToLong(Engine::written).sum());
+      try (Socket s = new Socket()) {
+        s.setReceiveBufferSize(4096);
+        s.connect(bed.address());
+        s.getOutputStream().write(("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: " + body.length()
+            + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8));
+        long[] last = {-1};
+        int[] same = {0};
+        Bed.until("the engine is held back", () -> {         // no further token for a while, though it is not done
+          long now = bed.on(() -> bed.engines("write").stream().mapToLong(Engine::written).sum());
+          same[0] = now == last[0] && now > before ? same[0] + 1 : 0;
+          last[0] = now;
+          return same[0] > 100;
+        });
+        assertTrue(last[0] - before < 60000, "written " + (last[0] - before));
+        bed.engines("write").forEach(e -> e.faults.slow = 1);
+        assertEquals(Answer.DONE, get(bed.send(bed.req(20, 3))).how());
+      }
+      bed.untilEmpty();
+    }
+  }
+
+  @Test
+  void listsThatAreWrongEmptyOrOld() throws Exception {
+    try (Bed bed = new Bed(1, 0, 2, "")) {
+      bed.fleet.engines().forEach(e -> bed.say(e, State.GONE));
+      Bed.until("no server is left", () -> bed.ask(bed.req(5, 1), bed.nodes.get(0)).how() != Answer.DONE);
+      bed.fleet.engines().forEach(e -> bed.say(e, State.READY));
+      Bed.until("servers are back", () -> bed.ask(bed.req(5, 1), bed.nodes.get(0)).how() == Answer.DONE);
+      bed.on(() -> bed.fleet.list.failing = true);
+      for (int i = 0; i < 5; i++) {
+        assertEquals(Answer.DONE, get(bed.send(bed.req(5, 1))).how());
+      }
+      bed.on(() -> bed.fleet.list.failing = false);
+      kept(bed);
+    }
+  }
+
+  @Test
+  void twoGatewaysShareOneSetOfEngines() throws Exception {
+    try (Bed bed = new Bed(2, 2, 2, "")) {
+      List<CompletableFuture<Outcome>> all = new ArrayList<>();
+      for (int i = 0; i < 60; i++) {
+        all.add(bed.send(bed.req(i % 2 == 0 ? 20 : 800, 5), bed.nodes.get(i % 2)));
+      }
+      for (CompletableFuture<Outcome> f : all) {
+        assertEquals(Answer.DONE, get(f).how());
+      }
+      kept(bed);
+    }
+  }
+
+  @Test
+  void aStopEndsEachReqAndTakesNoneAnew() throws Exception {
+    try (Bed bed = new Bed(1, 0, 2, ", \"limits\": {\"stop_ms\": 1200}")) {
+      CompletableFuture<Outcome> quick = bed.send(bed.req(20, 30));
+      CompletableFuture<Outcome> slow = bed.send(bed.req(20, 1000));
+      Bed.until("both stream", () -> bed.on(() -> bed.engines("write").stream().mapToLong(Engine::written).sum()) > 8);
+      Node n = bed.nodes.remove(0);
+      n.stop();
+      assertEquals(Answer.DONE, get(quick).how());
+      assertEquals(Answer.ABORTED, get(slow).how());
+      assertNull(get(bed.send(bed.req(5, 1), n)).how());      // refused at the port
+      Bed.until("nothing held", () -> bed.held() == 0);
+    }
+  }
+
+  @Test
+  void placesAreHeldAheadAndTakenOrGivenUp() throws Exception {
+    try (Bed bed = new Bed(1, 2, 2, ", \"hold_ahead\": true")) {
+      List<CompletableFuture<Outcome>> all = new ArrayList<>();
+      for (int i = 0; i < 20; i++) {
+        Ask a = bed.req(REMOTE, 4);
+        all.add(bed.send(i % 2 == 0 ? a : leaving(a, Duration.ofMillis(i * 10L), 0)));
+      }
+      for (int i = 0; i < 20; i++) {
+        Outcome o = get(all.get(i));
+        assertTrue(i % 2 == 1 || o.how() == Answer.DONE, o.toString());
+      }
+      kept(bed);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/gapproxy/http/SeamTest.java
@@ -0,0 +1,174 @@
+package gapproxy.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gapproxy.runtime.Loop;
+import gapproxy.runtime.Net;
+import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.Supplier;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Context;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.ProcessorExecutor;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.Filter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.junit.jupiter.api.Test;
+
+/** The same server classes as in the daemon, on a connection in memory and a clock turned by hand. */
+class SeamTest {
+  private static final class HandLoop implements Loop {
+    private record Due(Duration at, long n, Runnable work) {}
+
+    private final ArrayDeque<Runnable> inbox = new ArrayDeque<>();
+    private final PriorityQueue<Due> timers = new PriorityQueue<>((a, b) ->
+        a.at.equals(b.at) ? Long.compare(a.n, b.n) : a.at.compareTo(b.at));
+    private Duration now = Duration.ZERO;
+    private long n;
+
+    @Override
+    public Duration now() {
+      return now;
+    }
+
+    @Override
+    public Instant wall() {
+      return Instant.EPOCH.plus(now);
+    }
+
+    @Override
+    public void execute(Runnable work) {
+      inbox.add(work);
+    }
+
+    @Override
+    public Timer after(Duration span, Runnable work) {
+      Due d = new Due(now.plus(span), n++, work);
+      timers.add(d);
+      return () -> timers.remove(d);
+    }
+
+    @Override
+    public void whenIdle(Runnable work) {}
+
+    void turn(Duration to) {
+      run();
+      while (!timers.isEmpty() && timers.peek().at.compareTo(to) <= 0) {
+        Due d = timers.poll();
+        now = d.at;
+        d.work.run();
+        run();
+      }
+      now = to;
+    }
+
+    private void run() {
+      while (!inbox.isEmpty()) {
+        inbox.poll().run();
+      }
+    }
+  }
+
+  private static final class MemoryNet implements Net {
+    final TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance().build();
+    final StringBuilder written = new StringBuilder();
+    private Supplier<List<Filter>> filters;
+    private final ArrayDeque<Buffer> in = new ArrayDeque<>();
+
+    private final class First extends BaseFilter {
+      @Override
+      public NextAction handleRead(FilterChainContext ctx) {
+        ctx.setMessage(in.poll());
+        return ctx.getInvokeAction();
+      }
+
+      @Override
+      public NextAction handleWrite(FilterChainContext ctx) {
+        Buffer b = ctx.getMessage();
+        written.append(b.toStringContent(StandardCharsets.UTF_8));
+        var done = ctx.getTransportContext().getCompletionHandler();
+        if (done != null) {
+          done.completed(null);
+        }
+        return ctx.getStopAction();
+      }
+    }
+
+    Connection<?> open() throws Exception {
+      FilterChain chain = FilterChainBuilder.stateless().add(new First()).addAll(filters.get()).build();
+      TCPNIOConnection c = new TCPNIOConnection(transport, SocketChannel.open());
+      c.setProcessor(chain);
+      ProcessorExecutor.execute(Context.create(c, chain, IOEvent.ACCEPTED, null));
+      return c;
+    }
+
+    void arrive(Connection<?> c, byte[] bytes) {
+      in.add(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes));
+      ProcessorExecutor.execute(Context.create(c, c.getProcessor(), IOEvent.READ, null));
+    }
+
+    @Override
+    public Port listen(InetSocketAddress at, Supplier<List<Filter>> above) {
+      filters = above;
+      return new Port() {
+        @Override
+        public InetSocketAddress address() {
+          return at;
+        }
+
+        @Override
+        public void close() {}
+      };
+    }
+
+    @Override
+    public void connect(InetSocketAddress to, Supplier<List<Filter>> above, Connected then) {}
+
+    @Override
+    public void reading(Connection<?> connection, boolean on) {}
+  }
+
+  @Test
+  void theSameChainServesWithoutSocketsThreadsOrTime() throws Exception {
+    byte[] request = ("POST /a?x=1 HTTP/1.1\r\nHost: m\r\nContent-Length: 5\r\n\r\nhello").getBytes(StandardCharsets.UTF_8);
+    for (int cut = 1; cut < request.length; cut++) {
+      HandLoop loop = new HandLoop();
+      MemoryNet net = new MemoryNet();
+      HttpServer.open(loop, net, new InetSocketAddress("127.0.0.1", 1), Caps.DEFAULT, (x, decoded) -> {
+        assertEquals("hello", new String(x.request.body(), StandardCharsets.UTF_8));
+        x.begin(200, Map.of("content-type", "text/event-stream"));
+        loop.after(Duration.ofSeconds(5), () -> x.write("data: a\n\n"));
+        loop.after(Duration.ofSeconds(9), x::end);
+      });
+      Connection<?> c = net.open();
+      net.arrive(c, java.util.Arrays.copyOf(request, cut));
+      loop.turn(Duration.ofSeconds(1));
+      assertEquals("", net.written.toString());
+      net.arrive(c, java.util.Arrays.copyOfRange(request, cut, request.length));
+      loop.turn(Duration.ofSeconds(5));
+      assertEquals("", net.written.toString());
+      loop.turn(Duration.ofSeconds(6));
+      assertTrue(net.written.toString().contains("data: a"), net.written.toString());
+      loop.turn(Duration.ofSeconds(20));
+      assertTrue(net.written.toString().endsWith("0\r\n\r\n"), net.written.toString());
+    }
+  }
+}
