--- a/src/main/java/gapproxy/config/ConfigReader.java
+++ b/src/main/java/gapproxy/config/ConfigReader.java
@@ -14,6 +14,7 @@
 import com.networknt.schema.SpecVersion;
 import com.networknt.schema.ValidationMessage;
 import com.networknt.schema.serialization.JsonNodeReader;
+import com.networknt.schema.serialization.node.JsonLocationAware;
 import com.networknt.schema.utils.JsonNodes;
 import java.io.IOException;
 import java.io.InputStream;
@@ -87,7 +88,8 @@
     JsonNode all;
     try {
       all = JsonNodeReader.builder().locationAware().build().readTree(text, InputFormat.JSON);
-    } catch (IOException e) {
+    } catch (IOException | IllegalArgumentException wrapped) {  // the validator wraps what its reader throws
+      Throwable e = wrapped.getCause() instanceof IOException cause ? cause : wrapped;
       JsonLocation at = e instanceof JsonProcessingException j ? j.getLocation() : null;
       String what = e instanceof JsonProcessingException j ? j.getOriginalMessage() : e.getMessage();
       throw new ConfigErrors(List.of(where(name, at) + "not valid JSON: " + String.valueOf(what).lines().findFirst().orElse("")));
@@ -114,11 +116,11 @@
 
   private static JsonLocation at(JsonNode all, String pointer) {
     JsonNode n = all.at(pointer);
-    while (n.isMissingNode() && pointer.contains("/")) {
+    while (!(n instanceof JsonLocationAware) && pointer.contains("/")) {
       pointer = pointer.substring(0, pointer.lastIndexOf('/'));
       n = all.at(pointer);
     }
-    return n.isMissingNode() ? null : JsonNodes.tokenLocationOf(n);
+    return n instanceof JsonLocationAware ? JsonNodes.tokenLocationOf(n) : null; // a default stands nowhere
   }
 
   private static String where(String name, JsonLocation at) {
--- a/src/test/java/gapproxy/Bed.java
+++ b/src/test/java/gapproxy/Bed.java
@@ -4,6 +4,7 @@
 import gapproxy.audit.Traffic;
 import gapproxy.config.Config;
 import gapproxy.config.ConfigReader;
+import gapproxy.daemon.Logs;
 import gapproxy.daemon.Node;
 import gapproxy.http.HttpClient;
 import gapproxy.list.ServerList;
@@ -29,6 +30,10 @@
 
 /** Engines, a list and gateways on loopback in this process, for tests of the whole. */
 public final class Bed implements AutoCloseable {
+  static {
+    Logs.use(new Config.Log("text", "error"));
+  }
+
   public static final Duration BUDGET = Duration.ofSeconds(5);
   public final LiveLoop loop = new LiveLoop("bed");
   public final Audit audit = new Audit(new Audit.Figures(Duration.ofMillis(500), Duration.ofSeconds(1),
@@ -51,7 +56,7 @@
       }
     });
     clients = new ChatClient(loop, new HttpClient(loop, net, Duration.ofSeconds(5)), audit);
-    config = ConfigReader.parse(settings("g0", gateways, more), "bed");
+    config = ConfigReader.parse(settings("g0", Math.max(1, gateways), more), "bed");
     for (int i = 0; i < gateways; i++) {
       String name = "g" + i;
       on(() -> {
--- /dev/null
+++ b/src/test/java/gapproxy/audit/PlantedFaultsTest.java
@@ -0,0 +1,168 @@
+package gapproxy.audit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import gapproxy.Bed;
+import gapproxy.engine.Engines;
+import gapproxy.engine.Verdict;
+import gapproxy.http.Caps;
+import gapproxy.http.Exchange;
+import gapproxy.http.HttpClient;
+import gapproxy.http.HttpRequest;
+import gapproxy.http.HttpServer;
+import gapproxy.list.ServerList.State;
+import gapproxy.openai.Chunk;
+import gapproxy.openai.ChatRequest;
+import gapproxy.standin.ChatClient;
+import gapproxy.standin.ChatClient.Ask;
+import gapproxy.standin.ChatClient.Outcome;
+import gapproxy.standin.Engine;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The audit can fail: a small gateway with one planted fault for each rule is caught, and without it is not. */
+class PlantedFaultsTest {
+  private static final Duration SOON = Duration.ofSeconds(5);
+
+  /** A gateway that sends everything to one writer, or breaks a rule as it is told. */
+  private static final class Bad implements HttpServer.Handler {
+    final Bed bed;
+    final Engines engines;
+    final String fault;
+    final Engine writer;
+    int n;
+
+    Bad(Bed bed, String fault, Engine writer) {
+      this.bed = bed;
+      this.fault = fault;
+      this.writer = writer;
+      engines = new Engines(new HttpClient(bed.loop, bed.net, SOON), bed.loop, "bad", SOON, SOON);
+    }
+
+    @Override
+    public Object decode(HttpRequest q) {
+      return ChatRequest.parse(q.body());
+    }
+
+    @Override
+    public void handle(Exchange x, Object decoded) {
+      ChatRequest chat = (ChatRequest) decoded;
+      String name = "bad-" + n++;
+      if (fault.equals("no answer")) {
+        return;
+      }
+      if (fault.equals("state kept") || fault.equals("none")) {
+        Engine rd = bed.engines("read").get(0);
+        Duration wait = fault.equals("none") ? Duration.ofMillis(300) : Duration.ofMillis(1500);
+        engines.read(rd.address(), name + "-0", null, chat, new Engines.Reading() {
+          @Override
+          public void read(JsonNode transfer, long kept, long prompt) {
+            bed.loop.after(wait, () -> write(x, chat, name + "-1", transfer));
+          }
+
+          @Override
+          public void failed(Verdict how) {
+            x.cut();
+          }
+        });
+      } else {
+        write(x, chat, name + "-0", null);
+      }
+    }
+
+    private void write(Exchange x, ChatRequest chat, String id, JsonNode transfer) {
+      engines.write(writer.address(), id, null, null, chat, transfer, new Engines.Writing() {
+        @Override
+        public void chunk(Chunk c) {
+          if (!x.begun()) {
+            x.begin(200, Map.of("content-type", "text/event-stream"));
+          }
+          x.write("data: " + c.data() + "\n\n");
+        }
+
+        @Override
+        public void flush() {}
+
+        @Override
+        public void done() {
+          if (fault.equals("run again") && id.endsWith("-0")) {
+            write(x, chat, id.replace("-0", "-1"), null);
+            return;
+          }
+          x.write("data: [DONE]\n\n");
+          if (fault.equals("second answer")) {
+            x.write("data: [DONE]\n\n");
+          }
+          x.end();
+        }
+
+        @Override
+        public void failed(Verdict how) {
+          x.cut();
+        }
+      });
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"none,0", "second answer,1", "no answer,1", "run again,2", "sent to a drained server,3", "burst on a cold one,4",
+      "state kept,5"})
+  void eachIsCaughtByName(String fault, int rule) throws Exception {
+    try (Bed bed = new Bed(0, 1, 2, "")) {
+      Engine writer = bed.engines("write").get(0);
+      Bad bad = new Bad(bed, fault, writer);
+      HttpServer server = HttpServer.open(bed.loop, bed.net, new InetSocketAddress("127.0.0.1", 0), Caps.DEFAULT, bad);
+      bed.on(() -> {
+        bed.audit.gateway(bed.loop.now(), "bad", true);
+        bed.audit.told(bed.loop.now(), "bad", writer.spec.id(), true);
+        return null;
+      });
+      int asks = 1;
+      if (fault.startsWith("sent")) {
+        bed.say(writer, State.DRAINING);
+        bed.on(() -> {
+          bed.audit.told(bed.loop.now(), "bad", writer.spec.id(), false);
+          return null;
+        });
+        Thread.sleep(1100);                                   // past the grace and the audit's slack
+      } else if (fault.startsWith("burst")) {
+        bed.on(() -> {
+          bed.fleet.restart(writer, Duration.ZERO);
+          return null;
+        });
+        Bed.until("it is up again", () -> bed.on(writer::up));
+        asks = 150;
+      }
+      CompletableFuture<Outcome> last = null;
+      for (int i = 0; i < asks; i++) {
+        CompletableFuture<Outcome> f = new CompletableFuture<>();
+        Ask a = new Ask("f" + i, "draft", "non_replayable", true, "", null, Bed.words(50), 2, Duration.ofMillis(2500),
+            fault.equals("no answer") ? Duration.ofSeconds(30) : null, 0, 0, false);
+        bed.loop.execute(() -> bed.clients.ask(a, () -> new ChatClient.Target("bad", server.address()), f::complete));
+        last = f;
+      }
+      if (fault.equals("no answer")) {
+        Thread.sleep(3000);                                   // past its budget and the audit's slack
+      } else {
+        last.get(20, TimeUnit.SECONDS);
+      }
+      Audit.Report r = bed.on(() -> bed.audit.finish(bed.loop.now()));
+      bed.on(() -> {
+        server.kill();
+        return null;
+      });
+      if (rule == 0) {
+        assertEquals(java.util.List.of(), r.broken());
+      } else {
+        assertTrue(r.counts()[rule] > 0, r.toString());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/gapproxy/config/ConfigReaderTest.java
@@ -0,0 +1,57 @@
+package gapproxy.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ConfigReaderTest {
+  private static final String GOOD = """
+      {"groups": [{"name": "a", "models": ["m"]}],
+       "kinds": [{"name": "w", "role": "both"}],
+       "list": {"file": "servers.json"}}
+      """;
+
+  private static List<String> wrong(String text) {
+    return assertThrows(ConfigErrors.class, () -> ConfigReader.parse(text, "f.json")).lines();
+  }
+
+  @Test
+  void defaultsAreFilledIn() throws Exception {
+    Config c = ConfigReader.parse(GOOD, "f");
+    assertEquals(8080, c.listen().port());
+    assertEquals(15000, c.rules().cold().warmWithinMs());
+    assertEquals(50, c.groups().get(0).targetPer1000Ms());
+    assertEquals(6, c.settings().limits().forwards());
+  }
+
+  @Test
+  void everyErrorIsToldAtOnceWithItsPlace() {
+    List<String> all = wrong("""
+        {"groups": [{"name": "a", "models": [], "repeat": "often"}],
+         "kinds": [{"name": "w", "role": "both"}],
+         "list": {"file": "s", "url": "http://h:1/x"},
+         "listen": {"port": 99999},
+         "colour": 1}
+        """);
+    String text = String.join("\n", all);
+    assertTrue(text.contains("f.json:1:") && text.contains("/groups/0/models"), text);
+    assertTrue(text.contains("/groups/0/repeat") && text.contains("replayable"), text);
+    assertTrue(text.contains("f.json:4:") && text.contains("/listen/port") && text.contains("65535"), text);
+    assertTrue(text.contains("colour"), text);
+    assertTrue(text.contains("/list"), text);
+  }
+
+  @Test
+  void meaningsAreChecked() {
+    assertTrue(wrong(GOOD.replace("\"list\":", "\"zone\": \"x\", \"list\":")).get(0).contains("/zone: \"x\" is not one of"));
+    assertTrue(wrong(GOOD.replace("[\"m\"]}", "[\"m\"]}, {\"name\": \"b\", \"models\": [\"m\"]}")).get(0)
+        .contains("model m stands already at /groups/0/models/0"));
+    assertTrue(wrong(GOOD.replace("both", "read")).get(0).contains("no kind can write"));
+    assertTrue(wrong(GOOD.replace("[\"m\"]", "[\"m\"], \"repeat\": \"keyed\"")).get(0).contains("window"));
+    assertTrue(wrong("{\"a\":").get(0).contains("not valid JSON"));
+    assertTrue(wrong("").get(0).startsWith("f.json"));
+  }
+}
--- /dev/null
+++ b/src/test/java/gapproxy/day/DayTest.java
@@ -0,0 +1,48 @@
+package gapproxy.day;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gapproxy.config.Config;
+import gapproxy.config.ConfigErrors;
+import gapproxy.daemon.Logs;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** The short form of each day; the long ones are run by hand. */
+class DayTest {
+  @BeforeAll
+  static void quiet() {
+    Logs.use(new Config.Log("text", "error"));
+  }
+
+  static Stream<String> troubles() {
+    return Script.names().stream().filter(n -> !n.equals("whole-path"));
+  }
+
+  private static void good(Day.Result r) {
+    assertEquals(List.of(), r.audit().broken(), r.toString());
+    assertTrue(r.good() && r.audit().ends().getOrDefault("done", 0L) > 0, r.toString());
+  }
+
+  @ParameterizedTest
+  @MethodSource("troubles")
+  void rulesAreKept(String name) throws Exception {
+    good(new Day(Script.find(name), 7, 3, true).play());
+  }
+
+  @Test
+  void theWholePathThroughProcesses() throws Exception {
+    good(new Day(Script.find("whole-path"), 3, 30, false).play());
+  }
+
+  @Test
+  void wrongScriptsAreNamed() {
+    assertTrue(assertThrows(ConfigErrors.class, () -> Script.find("no-such-day")).getMessage().contains("whole-path"));
+  }
+}
--- /dev/null
+++ b/src/test/java/gapproxy/gateway/BadInputTest.java
@@ -0,0 +1,128 @@
+package gapproxy.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import gapproxy.Bed;
+import gapproxy.openai.ChatRequest;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** What is wrong gets one clear error in the API's shape, and the connection's next req works where HTTP allows it. */
+class BadInputTest {
+  private static final String GOOD = "{\"model\":\"draft\",\"messages\":[{\"role\":\"user\",\"content\":\"[[answer=2]]\"}]}";
+  private static Bed bed;
+
+  @BeforeAll
+  static void open() throws Exception {
+    bed = new Bed(1, 0, 1, ", \"customers\": [{\"name\": \"a\", \"keys\": [\"k\"]}, {\"name\": \"b\", \"anonymous\": true}]");
+  }
+
+  @AfterAll
+  static void close() {
+    bed.close();
+  }
+
+  private static String post(String body) {
+    return "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: "
+        + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body;
+  }
+
+  private static byte[] bytes(String s) {
+    return s.getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  private static String body(String messages, String more) {
+    return "{\"model\":\"draft\",\"messages\":" + messages + more + "}";
+  }
+
+  @Test
+  void wrongBodiesAreNamedAndTheConnectionGoesOn() throws Exception {
+    String hi = "[{\"role\":\"user\",\"content\":\"hi\"}]";
+    String[][] cases = {
+        {"400", "invalid_json", "{\"a\":"}, {"400", "invalid_json", ""}, {"400", "invalid_json", "[]"},
+        {"400", "invalid_json", "{\"a\":1,\"a\":2}"}, {"400", "invalid_json", GOOD + "x"},
+        {"400", "invalid_json", "{\"model\":\"\u00ff\"}"}, {"400", "missing_model", "{\"messages\":" + hi + "}"},
+        {"404", "model_not_found", GOOD.replace("draft", "nope")},
+        {"400", "invalid_messages", "{\"model\":\"draft\"}"}, {"400", "invalid_messages", body("[]", "")},
+        {"400", "invalid_role", body("[{\"role\":\"king\",\"content\":\"x\"}]", "")},
+        {"400", "invalid_content", body("[{\"role\":\"user\"}]", "")},
+        {"400", "invalid_content", body("[{\"role\":\"user\",\"content\":[{\"type\":\"image_url\"}]}]", "")},
+        {"400", "invalid_n", body(hi, ",\"n\":3")}, {"400", "invalid_temperature", body(hi, ",\"temperature\":1e999")},
+        {"400", "invalid_max_tokens", body(hi, ",\"max_tokens\":-1")},
+        {"400", "invalid_max_tokens", body(hi, ",\"max_tokens\":1.5")},
+        {"400", "invalid_max_tokens", body(hi, ",\"max_tokens\":99999999999999999999")},
+        {"400", "invalid_stream", body(hi, ",\"stream\":\"yes\"")},
+        {"400", "invalid_stream_options", body(hi, ",\"stream_options\":{}")}};
+    for (String[] c : cases) {
+      String request = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: " + c[2].length() + "\r\n\r\n" + c[2];
+      String got = Bed.raw(bed.address(), 400, bytes(request), bytes(post(GOOD)));
+      assertTrue(got.startsWith("HTTP/1.1 " + c[0] + " "), c[2] + "\n" + got);
+      String json = got.substring(got.indexOf("\r\n\r\n") + 4, got.indexOf("HTTP/1.1 200"));
+      JsonNode error = ChatRequest.JSON.readTree(json).get("error");
+      assertEquals(c[1], error.get("code").asText(), json);
+      assertEquals(4, error.size());
+      assertTrue(got.contains("w0 w1") && got.endsWith("<open>"), c[2] + "\n" + got);
+    }
+  }
+
+  @Test
+  void wrongFramingIsAnsweredAndTheConnectionEnds() throws Exception {
+    String chunked = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n";
+    String length = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: ";
+    StringBuilder flood = new StringBuilder("GET /v1/models HTTP/1.1\r\nHost: a\r\n");
+    for (int i = 0; i < 300; i++) {
+      flood.append("X-").append(i).append(": y\r\n");
+    }
+    String[][] cases = {
+        {"400", length + "5\r\nContent-Length: 5\r\n\r\nhello"}, {"400", length + "5\r\nContent-Length: 6\r\n\r\nhello"},
+        {"400", length + "5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}, {"400", length + "-5\r\n\r\n"},
+        {"400", length + "+5\r\n\r\nhello"}, {"400", length + "99999999999999999999\r\n\r\n"},
+        {"400", chunked + "Content-Length: 5\r\n\r\n0\r\n\r\n"}, {"400", chunked + "\r\nzz\r\nabc\r\n"},
+        {"400", chunked + "\r\n-5\r\nabc\r\n"}, {"400", chunked + "\r\nffffffffffffffffff\r\nabc\r\n"},
+        {"400", chunked.replace("chunked", "gzip") + "\r\nabc"}, {"400", flood + "\r\n"},
+        {"400", "GET /v1/models HTTP/1.1\r\nX: " + "y".repeat(40_000) + "\r\n\r\n"},
+        {"413", length + "10000000\r\n\r\n" + "x".repeat(100_000)},
+        {"400", "GET /v1/models HTTP/1.1\r\n\r\n"}};
+    for (String[] c : cases) {
+      String got = Bed.raw(bed.address(), 1000, bytes(c[1]));
+      String head = c[1].substring(0, Math.min(120, c[1].length()));
+      assertTrue(got.startsWith("HTTP/1.1 " + c[0] + " "), head + "\n" + got);
+      assertTrue(got.contains("\"error\":{\"message\"") && got.endsWith("<closed>"), head + "\n" + got);
+    }
+    assertTrue(Bed.raw(bed.address(), 1000, bytes(post(GOOD))).contains("w0 w1"));
+  }
+
+  @Test
+  void pathsMethodsKeysAndBudgets() throws Exception {
+    String[][] cases = {
+        {"404 ", "GET /nope HTTP/1.1\r\nHost: a\r\n\r\n"}, {"405 ", "PUT /v1/models HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"},
+        {"200 ", "GET /v1/models HTTP/1.1\r\nHost: a\r\n\r\n"},
+        {"400 ", post(GOOD).replace("Host: a", "Host: a\r\nx-gapproxy-budget-ms: soon")},
+        {"400 ", post(GOOD).replace("Host: a", "Host: a\r\nx-gapproxy-group: none")},
+        {"200 ", post(GOOD).replace("Host: a", "Host: a\r\nAuthorization: Bearer k\r\nx-gapproxy-group: order")}};
+    for (String[] c : cases) {
+      String got = Bed.raw(bed.address(), 400, bytes(c[1]));
+      assertTrue(got.startsWith("HTTP/1.1 " + c[0]), c[1] + "\n" + got);
+    }
+  }
+
+  @Test
+  void pipelinedReqsAreAnsweredInOrderHoweverTheyAreCut() throws Exception {
+    byte[] three = bytes(post(GOOD) + "GET /v1/models HTTP/1.1\r\nHost: a\r\n\r\n" + post(GOOD));
+    for (int cut = 1; cut < three.length; cut += 37) {
+      String got = Bed.raw(bed.address(), 300, java.util.Arrays.copyOf(three, cut),
+          java.util.Arrays.copyOfRange(three, cut, three.length));
+      List<Integer> at = new ArrayList<>();
+      for (String part : new String[] {"w0 w1", "\"object\":\"list\"", "<open>"}) {
+        at.add(got.indexOf(part));
+      }
+      assertTrue(at.get(0) > 0 && at.get(0) < at.get(1) && at.get(1) < got.lastIndexOf("w0 w1"), got);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/gapproxy/list/ServerListTest.java
@@ -0,0 +1,69 @@
+package gapproxy.list;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gapproxy.engine.Load;
+import gapproxy.http.EventStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The forms that come over the wire: lists, load, event streams. */
+class ServerListTest {
+  private static final String ONE = "{\"id\":1,\"address\":\"h:9\",\"kind\":\"w\"}";
+
+  private static String wrong(String servers) {
+    return assertThrows(ServerList.Bad.class, () ->
+        ServerList.parse(("{\"servers\":" + servers + "}").getBytes(StandardCharsets.UTF_8))).getMessage();
+  }
+
+  @Test
+  void listsAreReadAndWrittenAlike() throws Exception {
+    ServerList l = ServerList.parse(("{\"epoch\":\"e\",\"index\":7,\"servers\":[" + ONE + "]}").getBytes(StandardCharsets.UTF_8));
+    assertEquals(l, ServerList.parse(l.bytes()));
+    assertEquals(ServerList.State.READY, l.servers().get(0).state());
+  }
+
+  @Test
+  void wrongListsAreRefusedWhole() {
+    assertTrue(wrong("[" + ONE + "," + ONE + "]").contains("/servers/1/id: server 1 stands in the list twice"));
+    assertTrue(wrong("7").startsWith("/servers"));
+    assertTrue(wrong("[{\"id\":-1}]").startsWith("/servers/0/id"));
+    assertTrue(wrong("[{\"id\":1,\"address\":\"h\"}]").startsWith("/servers/0/address"));
+    assertTrue(wrong("[{\"id\":1,\"address\":\"h:70000\"}]").startsWith("/servers/0/address"));
+    assertTrue(wrong("[{\"id\":1,\"address\":\"h:7\",\"kind\":\"w\",\"state\":\"asleep\"}]").startsWith("/servers/0/state"));
+    assertTrue(wrong("[{\"id\":1,\"address\":\"h:7\",\"kind\":\"w\",\"size\":0}]").startsWith("/servers/0/size"));
+  }
+
+  @Test
+  void loadByTheEnginesNames() {
+    double[] l = Load.parse("""
+        # HELP x
+        vllm:num_requests_running{model_name="a{b}"} 3.0
+        vllm:num_requests_running{model_name="b"} 2
+        vllm:num_requests_waiting 4 1700000000
+        vllm:gpu_cache_usage_perc{model_name="a"} 0.5
+        vllm:kv_cache_usage_perc{model_name="b"} NaN
+        other 7
+        """);
+    assertEquals(List.of(5.0, 4.0, 0.5), List.of(l[0], l[1], l[2]));
+    assertEquals(0, Load.parse("vllm:num_requests_running 3\n").length);
+    assertEquals(0, Load.parse("\u0000{{{ }\n}{\n").length);
+  }
+
+  @Test
+  void eventStreamsCutAtEachByte() {
+    byte[] all = "data: a\r\n\r\n: note\ndata:b\ndata: c\u00e9\n\nevent: x\ndata: d\r\rdata: e".getBytes(StandardCharsets.UTF_8);
+    for (int i = 0; i <= all.length; i++) {
+      List<String> got = new ArrayList<>();
+      EventStream s = new EventStream(100, got::add);
+      s.take(java.util.Arrays.copyOf(all, i));
+      s.take(java.util.Arrays.copyOfRange(all, i, all.length));
+      assertEquals(List.of("a", "b\nc\u00e9", "d"), got, "cut at " + i);
+    }
+    assertThrows(IllegalStateException.class, () -> new EventStream(100, d -> { }).take(new byte[200]));
+  }
+}
--- /dev/null
+++ b/src/test/java/gapproxy/openai/OfficialClientTest.java
@@ -0,0 +1,129 @@
+package gapproxy.openai;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.openai.client.OpenAIClient;
+import com.openai.client.okhttp.OpenAIOkHttpClient;
+import com.openai.core.http.StreamResponse;
+import com.openai.errors.BadRequestException;
+import com.openai.errors.NotFoundException;
+import com.openai.errors.RateLimitException;
+import com.openai.models.chat.completions.ChatCompletion;
+import com.openai.models.chat.completions.ChatCompletionChunk;
+import com.openai.models.chat.completions.ChatCompletionCreateParams;
+import com.openai.models.chat.completions.ChatCompletionStreamOptions;
+import gapproxy.Bed;
+import gapproxy.http.Caps;
+import gapproxy.http.HttpServer;
+import gapproxy.standin.Engine;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** The API as its official client for Java sees it. */
+class OfficialClientTest {
+  private static Bed bed;
+
+  @BeforeAll
+  static void open() throws Exception {
+    bed = new Bed(1, 2, 2, "");
+  }
+
+  @AfterAll
+  static void close() {
+    bed.close();
+  }
+
+  private static OpenAIClient client(InetSocketAddress at, int retries) {
+    return OpenAIOkHttpClient.builder().baseUrl("http://127.0.0.1:" + at.getPort() + "/v1").apiKey("none")
+        .maxRetries(retries).timeout(Duration.ofSeconds(20)).build();
+  }
+
+  private static ChatCompletionCreateParams.Builder ask(String text) {
+    return ChatCompletionCreateParams.builder().model("draft").addSystemMessage("Short.").addUserMessage(text);
+  }
+
+  @Test
+  void streamsAndCompletes() {
+    OpenAIClient c = client(bed.address(), 0);
+    StringBuilder text = new StringBuilder();
+    List<Long> usage = new ArrayList<>();
+    List<String> ends = new ArrayList<>();
+    try (StreamResponse<ChatCompletionChunk> s = c.chat().completions().createStreaming(ask("[[answer=4]] " + Bed.words(900))
+        .streamOptions(ChatCompletionStreamOptions.builder().includeUsage(true).build()).build())) {
+      s.stream().forEach(k -> {
+        k.choices().forEach(x -> {
+          x.delta().content().ifPresent(text::append);
+          x.finishReason().ifPresent(e -> ends.add(e.toString()));
+        });
+        k.usage().ifPresent(u -> usage.add(u.completionTokens()));
+      });
+    }
+    assertEquals("w0 w1 w2 w3", text.toString());
+    assertEquals(List.of(4L), usage);
+    assertEquals(List.of("stop"), ends);
+    ChatCompletion whole = c.chat().completions().create(ask("[[answer=3]]").build());
+    assertEquals("w0 w1 w2", whole.choices().get(0).message().content().orElse(""));
+    assertEquals(3, whole.usage().orElseThrow().completionTokens());
+    assertEquals("draft", c.models().list().data().get(0).id());
+  }
+
+  @Test
+  void errorsAreOfTheClientsOwnKinds() {
+    OpenAIClient c = client(bed.address(), 0);
+    assertThrows(BadRequestException.class, () -> c.chat().completions().create(ask("x").temperature(7.0).build()));
+    assertThrows(NotFoundException.class, () -> c.chat().completions().create(ask("x").model("none").build()));
+  }
+
+  @Test
+  void aPushbackIsItsRateLimitErrorAndItsAdviceIsHeeded() throws Exception {
+    try (Bed full = new Bed(1, 0, 1, "")) {
+      Engine w = full.engines("write").get(0);
+      full.on(() -> {
+        w.faults.silent = true;                               // forwards that wait make the decisions push back
+        return null;
+      });
+      for (int i = 0; i < 30; i++) {
+        full.send(full.req(400, 5));
+      }
+      int[] pushed = new int[1];
+      Bed.until("a rate limit error", () -> {
+        try {
+          client(full.address(), 0).chat().completions().create(ask("x").build());
+          return false;
+        } catch (RateLimitException e) {
+          pushed[0]++;
+          assertTrue(e.headers().values("retry-after-ms").size() == 1, e.headers().toString());
+          return true;
+        } catch (com.openai.errors.OpenAIException e) {
+          return false;
+        }
+      });
+      assertEquals(1, pushed[0]);
+    }
+    // How it takes the advice is seen on a server that gives it once, in the gateway's form.
+    List<Duration> came = new ArrayList<>();
+    HttpServer once = HttpServer.open(bed.loop, bed.net, new InetSocketAddress("127.0.0.1", 0), Caps.DEFAULT, (x, d) -> {
+      came.add(bed.loop.now());
+      ApiError e = new ApiError(came.size() == 1 ? 429 : 400, "rate_limit_error", "overloaded", null, "later");
+      x.respond(e.status, new HashMap<>(Map.of("content-type", "application/json", "retry-after", "1", "retry-after-ms", "700")),
+          e.bytes());
+    });
+    assertThrows(BadRequestException.class, () ->
+        client(once.address(), 2).chat().completions().create(ask("x").build()));
+    Duration waited = bed.on(() -> came.get(1).minus(came.get(0)));
+    assertTrue(waited.toMillis() >= 690 && waited.toMillis() < 3000, waited.toString());
+    bed.on(() -> {
+      once.kill();
+      return null;
+    });
+  }
+}
