--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -73,6 +73,7 @@
   private final long started;
   private List<Event> pending = new ArrayList<>();
   private HttpServer server;
+  private Duration stepped = Duration.ZERO;
   private long numbers;
   private double ratio = 1;
   private boolean stopping;
@@ -247,10 +248,21 @@
     for (int i = 0; i < ROUNDS && !pending.isEmpty(); i++) {
       List<Event> now = pending;
       pending = new ArrayList<>();
-      rules.step(loop.now(), now).forEach(this::act);
+      stepped = loop.now();
+      now.replaceAll(e -> e instanceof Event.Accept a ? left(a) : e);
+      rules.step(stepped, now).forEach(this::act);
     }
   }
 
+  /** What waited for the decisions has so much less of its budget; else forwards would be given time that is not there. */
+  private Event left(Event.Accept a) {
+    Req r = reqs.get(a.req());
+    Duration waited = r == null ? Duration.ZERO : stepped.minus(r.taken);
+    Duration left = waited.compareTo(a.budget()) < 0 ? a.budget().minus(waited) : Duration.ZERO;
+    return new Event.Accept(a.req(), a.group(), a.customer(), a.session(), left, a.shared(), a.prompt(), a.sharedPart(),
+        a.maxAnswer(), a.resumed());
+  }
+
   private void act(Action a) {
     if (a instanceof Action.Alarm x) {
       loop.after(x.at().minus(loop.now()), () -> pending.add(new Event.Wake(x.token())));
@@ -312,7 +324,7 @@
       end(f, Outcome.FULL, 1, "no state to fetch");           // it went with an earlier forward
       return;
     }
-    f.limit = loop.after(a.timeOut(), () -> {
+    f.limit = loop.after(a.timeOut().minus(loop.now().minus(stepped)), () -> {
       if (!f.begun) {
         end(f, Outcome.TIMED_OUT, 0, "no answer within " + a.timeOut().toMillis() + " ms");
       }
