--- a/src/main/java/gapproxy/sim/World.java
+++ b/src/main/java/gapproxy/sim/World.java
@@ -202,7 +202,9 @@
     }
     ask(late);
     boolean quiet = loop.now().compareTo(TROUBLE) > 0 && !late; // nothing to be learned while all recovers
-    loop.after(Duration.ofNanos((long) (-Math.log(1 - chance.nextDouble()) / (quiet ? 1 : rate) * 1e9)), this::next);
+    Duration gap = Duration.ofNanos((long) (-Math.log(1 - chance.nextDouble()) / (quiet ? 1 : rate) * 1e9));
+    Duration toLate = TROUBLE.plus(RECOVERED).minus(BUDGET).minus(loop.now()).plusMillis(1);
+    loop.after(quiet && gap.compareTo(toLate) > 0 ? toLate : gap, this::next);
   }
 
   private void ask(boolean late) {
