--- /dev/null
+++ b/src/test/java/gapproxy/sim/Mutants.java
@@ -0,0 +1,126 @@
+package gapproxy.sim;
+
+import java.io.IOException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import javax.tools.JavaCompiler;
+import javax.tools.ToolProvider;
+
+/** Gateways with one planted fault each, made by a change of one place in the source, compiled and run beside the true one. */
+final class Mutants {
+  /** @param replace occurs once in the file */
+  record Mutant(String name, String file, String replace, String by) {}
+
+  private static final String GATEWAY = "gateway/Gateway.java";
+
+  static final List<Mutant> ALL = List.of(
+      new Mutant("no final answer to a pushback", GATEWAY, "() -> r.exchange.respond(e.status, h, e.bytes()));\n    settle(r);",
+          "() -> { });\n    settle(r);"),
+      new Mutant("a second final answer is let through", GATEWAY, "    if (r.answered) {\n      LOG.atError()",
+          "    if (false) {\n      LOG.atError()"),
+      new Mutant("the stream goes on after its end", GATEWAY, "          relay(f);\n          r.exchange.end();",
+          "          f.relay.append(\"data: [DONE]\\n\\n\");\n          relay(f);\n          r.exchange.end();"),
+      new Mutant("an abort in a stream ends as done", GATEWAY, "        r.exchange.write(\"data: \" + e.json() + \"\\n\\n\");\n        r.exchange.breakOff();",
+          "        r.exchange.end();"),
+      new Mutant("a client that leaves is not noticed", GATEWAY, "      x.onLost(() -> left(r));\n", ""),
+      new Mutant("the budget is not kept by time-outs", GATEWAY, "    f.limit = loop.after(a.timeOut().minus(loop.now().minus(stepped)), () -> {",
+          "    f.limit = loop.after(a.timeOut().plus(Duration.ofSeconds(5)), () -> {"),
+      new Mutant("whole answers have no deadline", GATEWAY, "    if (r.chat.stream()) {\n      r.limit.cancel();",
+          "    r.limit.cancel();\n    if (r.chat.stream()) {\n      r.limit.cancel();"),
+      new Mutant("a silent engine is waited for", GATEWAY, "    watch(f);\n    r.firstToken", "    r.firstToken"),
+      new Mutant("a forward's end is not told", GATEWAY, "    pending.add(new Event.Ended(r.number, f.number, how, f.at.id(), note, r.answered, loop.now().minus(f.sent),\n        new double[0]));\n",
+          ""),
+      new Mutant("a cancel does not close the call", GATEWAY, "    if (f.call != null && (how == Outcome.CANCELLED || how == Outcome.TIMED_OUT)) {",
+          "    if (f.call != null && how == Outcome.TIMED_OUT) {"),
+      new Mutant("a drop frees nothing", GATEWAY, "      held.free(r.state.at().address(), r.state.id());\n      r.state = null;\n    }\n    if (!r.forwards",
+          "      r.state = null;\n    }\n    if (!r.forwards"),
+      new Mutant("a state is freed two seconds late", "gateway/Held.java", "    freeing++;\n    attempt(at, id, TRIES, false);",
+          "    freeing++;\n    loop.after(Duration.ofSeconds(2), () -> attempt(at, id, TRIES, false));"),
+      new Mutant("an ended read leaves its state", GATEWAY, "      held.freeLater(f.at.address(), f.id);", "      assert true;"),
+      new Mutant("a read's lost race is not tried again", "gateway/Held.java", "well && (any || !unsure)", "true"),
+      new Mutant("drains are not passed on", "gateway/Fleet.java", "Event.State.valueOf(e.state().name())", "Event.State.READY"),
+      new Mutant("a list is taken once only", "list/PollSource.java", "    if (news) {\n      listener.list(l);\n    }",
+          "    if (news && index < 2) {\n      listener.list(l);\n    }"),
+      new Mutant("the start time of a server is left out", "gateway/Fleet.java", "    Duration up = e.upSince() == null ? null", "    Duration up = true ? null"),
+      new Mutant("non-replayable reqs pass as replayable", "config/Config.java", "Repeat.valueOf(g.repeat.toUpperCase(Locale.ROOT))", "Repeat.REPLAYABLE"),
+      new Mutant("broken counts as never sent", GATEWAY, "      case BROKEN -> Outcome.BROKEN;", "      case BROKEN -> Outcome.NO_CONNECTION;"),
+      new Mutant("time-outs count as full", GATEWAY, "        end(f, Outcome.TIMED_OUT, 0, \"no answer within", "        end(f, Outcome.FULL, 0, \"no answer within"),
+      new Mutant("ended reqs are never forgotten", GATEWAY, "      drop(r);\n      reqs.remove(r.number);", "      drop(r);"),
+      new Mutant("a failed list is never asked for again", GATEWAY, "    } else if (a instanceof Action.Subscribe) {\n      source.subscribe();",
+          "    } else if (a instanceof Action.Subscribe) {\n      if (loop.now().toMillis() < 200) {\n        source.subscribe();\n      }"),
+      new Mutant("a connection that broke is used again", "http/HttpClient.java", "      ArrayDeque<Wire> ready = pool.get(to);\n      if (ready != null) {\n        ready.remove(this);\n      }\n", ""),
+      new Mutant("bytes of one answer go to the next", "http/HttpClient.java", "        wire.connection.closeSilently();\n      }\n      listener.end();",
+          "        wire.rest();\n      }\n      listener.end();"));
+
+  private Mutants() {}
+
+  /** The first of so many seeds at which a mutant is found, and by what; null where none finds it. */
+  static String find(Mutant m, int seeds) throws Exception {
+    Path sources = Path.of("src/main/java/gapproxy");
+    Path classes = Path.of("target/classes").toAbsolutePath();
+    String text = Files.readString(sources.resolve(m.file));
+    if (text.split(java.util.regex.Pattern.quote(m.replace), -1).length != 2) {
+      throw new IllegalStateException(m.name + ": its place does not stand once in " + m.file);
+    }
+    Path out = Files.createTempDirectory("mutant");
+    Path file = out.resolve("src").resolve(m.file);
+    Files.createDirectories(file.getParent());
+    Files.writeString(file, text.replace(m.replace, m.by));
+    JavaCompiler javac = ToolProvider.getSystemJavaCompiler();
+    int failed = javac.run(null, null, System.err, "-nowarn", "-d", out.toString(), "-cp",
+        classes + java.io.File.pathSeparator + System.getProperty("java.class.path"), file.toString());
+    if (failed != 0) {
+      throw new IllegalStateException(m.name + " does not compile");
+    }
+    try (Loader loader = new Loader(out.toUri().toURL(), classes.toUri().toURL())) {
+      Class<?> world = loader.loadClass("gapproxy.sim.World");
+      for (int seed = 1; seed <= seeds; seed++) {
+        Object verdict;
+        try {
+          verdict = world.getMethod("run").invoke(world.getConstructor(long.class, boolean.class).newInstance((long) seed, false));
+        } catch (java.lang.reflect.InvocationTargetException e) {
+          return "seed " + seed + ": " + e.getCause();
+        }
+        List<?> found = (List<?>) verdict.getClass().getMethod("found").invoke(verdict);
+        if (!found.isEmpty()) {
+          return "seed " + seed + ": " + found.get(0);
+        }
+      }
+      return null;
+    } finally {
+      delete(out);
+    }
+  }
+
+  private static void delete(Path dir) throws IOException {
+    List<Path> all = new ArrayList<>();
+    try (var files = Files.walk(dir)) {
+      files.forEach(all::add);
+    }
+    for (int i = all.size() - 1; i >= 0; i--) {
+      Files.delete(all.get(i));
+    }
+  }
+
+  /** Takes the program's classes from the mutant and the build, not from its parent; libraries are shared. */
+  private static final class Loader extends URLClassLoader {
+    Loader(URL... from) {
+      super(from, Mutants.class.getClassLoader());
+    }
+
+    @Override
+    protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
+      if (!name.startsWith("gapproxy.")) {
+        return super.loadClass(name, resolve);
+      }
+      synchronized (getClassLoadingLock(name)) {
+        Class<?> c = findLoadedClass(name);
+        return c != null ? c : findClass(name);
+      }
+    }
+  }
+}
