--- a/src/main/java/gapproxy/cli/SimCommand.java
+++ b/src/main/java/gapproxy/cli/SimCommand.java
@@ -3,8 +3,14 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gapproxy.config.Config;
+import gapproxy.config.ConfigErrors;
 import gapproxy.daemon.Logs;
+import gapproxy.sim.Plan;
+import gapproxy.sim.Shrinker;
 import gapproxy.sim.World;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
@@ -16,7 +22,7 @@
 import picocli.CommandLine.Option;
 
 @Command(name = "sim", description = "Runs the gateway's own classes on virtual time against faults drawn from seeds.",
-    subcommands = {SimCommand.Run.class, SimCommand.Sweep.class})
+    subcommands = {SimCommand.Run.class, SimCommand.Replay.class, SimCommand.Shrink.class, SimCommand.Sweep.class})
 final class SimCommand {
   @Command(name = "run", description = "Runs one seed; exit code 0 only where all held.")
   static final class Run implements Callable<Integer> {
@@ -28,13 +34,53 @@
     @Override
     public Integer call() {
       Logs.use(new Config.Log("text", "error"));
-      World.Verdict v = new World(seed, trace).run();
-      v.timeline().forEach(System.out::println);
-      System.out.printf("seed %d: %s; %d steps, %.1f s simulated, %d reqs, ends %s, faults %s, trace %08x%n", seed,
-          v.held() ? "held" : "broken", v.steps(), v.span().toMillis() / 1000.0, v.taken(), new TreeMap<>(v.ends()), v.faults(),
-          v.trace());
-      v.found().forEach(f -> System.out.println("  " + f));
-      return v.held() ? 0 : 1;
+      return tell(new World(seed, trace).run());
+    }
+  }
+
+  private static int tell(World.Verdict v) {
+    v.timeline().forEach(System.out::println);
+    System.out.printf("seed %d: %s; %d steps, %.1f s simulated, %d reqs, ends %s, faults %s, trace %08x%n", v.seed(),
+        v.held() ? "held" : "broken", v.steps(), v.span().toMillis() / 1000.0, v.taken(), new TreeMap<>(v.ends()), v.faults(),
+        v.trace());
+    v.found().forEach(f -> System.out.println("  " + f));
+    return v.held() ? 0 : 1;
+  }
+
+  @Command(name = "replay", description = "Runs a plan from a file; exit code 0 only where all held.")
+  static final class Replay implements Callable<Integer> {
+    @CommandLine.Parameters(paramLabel = "FILE")
+    private Path file;
+    @Option(names = "--trace", description = "Prints what happened, in order.")
+    private boolean trace;
+
+    @Override
+    public Integer call() {
+      Logs.use(new Config.Log("text", "error"));
+      try {
+        return tell(new World(Plan.parse(Files.readString(file), file.toString()), trace).run());
+      } catch (ConfigErrors e) {
+        throw new Main.Failure(e.getMessage());
+      } catch (IOException e) {
+        throw new Main.Failure(file + ": can't be read");
+      }
+    }
+  }
+
+  @Command(name = "shrink", description = "Prints the smallest plan found that still breaks what a seed breaks.")
+  static final class Shrink implements Callable<Integer> {
+    @CommandLine.Parameters(paramLabel = "SEED")
+    private long seed;
+
+    @Override
+    public Integer call() {
+      Logs.use(new Config.Log("text", "error"));
+      Plan least = Shrinker.shrink(Plan.of(seed), p -> new World(p, false).run().found());
+      if (least == null) {
+        throw new Main.Failure("seed " + seed + " holds: there is nothing to shrink");
+      }
+      System.out.println(least.json());
+      return 0;
     }
   }
 
--- a/src/main/java/gapproxy/sim/SimNet.java
+++ b/src/main/java/gapproxy/sim/SimNet.java
@@ -44,7 +44,7 @@
 final class SimNet {
   private static final TCPNIOTransport TRANSPORT = TCPNIOTransportBuilder.newInstance().build();
   private static final SocketChannel CHANNEL = channel();
-  private static final int PIECE = 4096;
+  private static final int PIECE = 4096, SINGLE = 400;
 
   private static SocketChannel channel() {
     try {
@@ -60,13 +60,16 @@
   private final Set<End> open = new LinkedHashSet<>();
   private final Set<String> cut = new HashSet<>();            // from>to
   private final CRC32 seen = new CRC32();
+  private final String cutting;
   private int nextPort = 10_000;
   Duration latency = Duration.ofNanos(300_000);
   double jitter = 1;
   double slowness = 1;
   long bytes;
 
-  SimNet(Scheduler scheduler, SplittableRandom chance) {
+  /** @param cutting how what is sent is cut: mixed, single or together */
+  SimNet(Scheduler scheduler, SplittableRandom chance, String cutting) {
+    this.cutting = cutting;
     this.scheduler = scheduler;
     this.chance = chance;
   }
@@ -187,7 +190,7 @@
     End peer;
     boolean reading = true;
     boolean ended;
-    private boolean pumping;
+    private boolean pumping, begun;
     private Buffer taking;
 
     End(Host host, List<Filter> filters) {
@@ -226,7 +229,9 @@
       }
       int from = 0;
       do {
-        int n = Math.min(all.length - from, chance.nextInt(4) == 0 ? 1 + chance.nextInt(Math.max(1, all.length)) : PIECE);
+        int most = cutting.equals("single") && all.length < SINGLE ? 1 : cutting.equals("together") ? all.length
+            : chance.nextInt(4) == 0 ? 1 + chance.nextInt(Math.max(1, all.length)) : PIECE;
+        int n = Math.min(all.length - from, most);
         boolean last = from + n >= all.length;
         peer.arriving.add(new Piece(java.util.Arrays.copyOfRange(all, from, from + n), last ? written : () -> { }, false));
         from += n;
@@ -240,12 +245,14 @@
         return;
       }
       pumping = true;
-      scheduler.after(delay(), () -> {
+      boolean streaming = cutting.equals("single") && begun;  // bytes follow each other at once, the first after a delay
+      begun = arriving.size() > 1;
+      scheduler.after(streaming ? Duration.ofNanos(1000) : delay(), () -> {
         pumping = false;
         if (ended || host.loop.dead() || !reading || cut.contains(peer.host.name + ">" + host.name)) {
           return;                                             // goes on when that is over
         }
-        int parts = chance.nextInt(3) == 0 ? 1 : 40;          // one piece, or as many as are there in one segment
+        int parts = cutting.equals("single") || cutting.equals("mixed") && chance.nextInt(3) == 0 ? 1 : 40;
         java.io.ByteArrayOutputStream all = new java.io.ByteArrayOutputStream();
         boolean end = false;
         for (int i = 0; i < parts && !arriving.isEmpty() && !end; i++) {
@@ -254,7 +261,7 @@
           p.written.run();
           end = p.end;
         }
-        deliver(all.toByteArray());
+        deliver(all.toByteArray());                           // what is there together comes in one segment
         if (end && !ended) {
           closeSilently();
         }
--- a/src/main/java/gapproxy/sim/World.java
+++ b/src/main/java/gapproxy/sim/World.java
@@ -52,7 +52,7 @@
     }
   }
 
-  private final long seed;
+  private final Plan plan;
   private final SplittableRandom chance;
   private final Scheduler scheduler;
   private final SimNet net;
@@ -69,13 +69,18 @@
   private double rate;
   private boolean ended;
 
-  /** @param told whether a timeline is kept */
+  /** The run of a seed. */
   public World(long seed, boolean told) {
-    this.seed = seed;
-    SplittableRandom all = new SplittableRandom(seed);
+    this(Plan.of(seed), told);
+  }
+
+  /** @param told whether a timeline is kept */
+  public World(Plan plan, boolean told) {
+    this.plan = plan;
+    SplittableRandom all = new SplittableRandom(plan.seed());
     chance = all.split();
-    scheduler = new Scheduler(all.nextInt(3) == 0 ? all.split() : null);
-    net = new SimNet(scheduler, all.split());
+    scheduler = new Scheduler(plan.shuffle() ? all.split() : null);
+    net = new SimNet(scheduler, all.split(), plan.bytes());
     loop = new SimLoop(scheduler);
     timeline = told ? new ArrayList<>() : null;
   }
@@ -99,7 +104,7 @@
       leftBehind();
     }
     Audit.Report r = audit.finish(loop.now());
-    return new Verdict(seed, List.copyOf(found), scheduler.done(), scheduler.now(), r.taken(), r.ends(), faults, net.bytes,
+    return new Verdict(plan.seed(), List.copyOf(found), scheduler.done(), scheduler.now(), r.taken(), r.ends(), faults, net.bytes,
         net.trace(), timeline == null ? List.of() : timeline);
   }
 
@@ -129,26 +134,19 @@
   // ---- what there is
 
   private void begin() throws IOException {
-    int gateways = 1 + chance.nextInt(3);
-    int zones = 1 + chance.nextInt(2);
-    rate = 4 + chance.nextInt(12);
-    double pace = chance.nextInt(3) == 0 ? 0.15 : 1;          // slow engines: long answers, easily tipped
-    fleet = new Fleet(new Fleet.Size(zones, 1, chance.nextInt(3), 1 + chance.nextInt(3), pace), loop, net.host("world", loop), audit,
+    rate = plan.rate();
+    fleet = new Fleet(new Fleet.Size(plan.zones(), 1, plan.readers(), plan.writers(), plan.pace()), loop, net.host("world", loop), audit,
         chance.nextLong(), "sim");
     clients = new ChatClient(loop, new HttpClient(loop, net.host("clients", loop), Duration.ofSeconds(5)), audit);
-    for (int i = 0; i < gateways; i++) {
+    for (int i = 0; i < plan.gateways(); i++) {
       Slot s = new Slot("g" + i);
       s.at = new InetSocketAddress("127.0.0.1", 8_000 + i);
       slots.add(s);
-      up(s, zones, gateways);
+      up(s);
     }
     loop.after(Duration.ofMillis(300), this::next);
-    int n = chance.nextInt(5);
-    for (int i = 0; i < n; i++) {
-      Duration at = Duration.ofMillis(300 + chance.nextInt((int) TROUBLE.toMillis()));
-      Duration lasts = Duration.ofMillis(20 + chance.nextInt(2500));
-      int kind = chance.nextInt(KINDS.length);
-      loop.after(at, () -> fault(KINDS[kind], lasts, zones, gateways));
+    for (Plan.Fault f : plan.faults()) {
+      loop.after(Duration.ofMillis(f.at()), () -> fault(f));
     }
     loop.after(TROUBLE.plus(RECOVERED), this::settle);
   }
@@ -163,13 +161,13 @@
     }
   }
 
-  private void up(Slot s, int zones, int gateways) throws IOException {
+  private void up(Slot s) throws IOException {
     audit.gateway(loop.now(), s.name, true);
     s.loop = new SimLoop(scheduler);
     s.host = (SimNet.Host) net.host(s.name, s.loop);
-    int zone = Integer.parseInt(s.name.substring(1)) % zones;
-    Config c = CONFIGS.computeIfAbsent(s.name + "/" + zones + "/" + gateways + "/" + fleet.list.address().getPort(),
-        k -> config(s, zone, zones, gateways));
+    int zone = Integer.parseInt(s.name.substring(1)) % plan.zones();
+    Config c = CONFIGS.computeIfAbsent(s.name + "/" + plan.zones() + "/" + plan.gateways() + "/" + fleet.list.address().getPort(),
+        k -> config(s, zone, plan.zones(), plan.gateways()));
     s.gateway = new Gateway(c, s.loop, s.host, disk, chance.nextLong());
     s.gateway.start();
     tell(s.name + " is up");
@@ -230,48 +228,42 @@
 
   // ---- faults
 
-  private static final String[] KINDS = {"engine dies", "engine silent", "engine slow", "engine fails", "answers lost", "resets",
-      "slow handshake", "engine drains", "texts forgotten", "states lost", "site cut", "list late", "list fails", "gateway dies",
-      "gateway stands still", "slow network", "burst"};
-
-  private Engine any() {
-    List<Engine> all = List.copyOf(fleet.engines());
-    return all.get(chance.nextInt(all.size()));
-  }
-
-  private void fault(String kind, Duration lasts, int zones, int gateways) {
+  private void fault(Plan.Fault f) {
+    String kind = f.kind();
+    Duration lasts = Duration.ofMillis(f.lasts());
     faults.merge(kind, 1, Integer::sum);
-    Engine e = any();
-    tell(kind + " for " + lasts.toMillis() + " ms (engine " + e.spec.id() + ")");
+    List<Engine> all = List.copyOf(fleet.engines());
+    Engine e = all.get(f.which() % all.size());
+    Slot slot = slots.get(f.which() % slots.size());
+    tell(kind + " for " + lasts.toMillis() + " ms (engine " + e.spec.id() + ", " + slot.name + ")");
     switch (kind) {
       case "engine dies" -> fleet.restart(e, lasts);
       case "engine silent" -> {
         e.faults.silent = true;
         audit.deaf(loop.now(), e.spec.id(), true);
       }
-      case "engine slow" -> e.faults.slow = 2 + chance.nextInt(20);
-      case "engine fails" -> e.faults.failShare = 0.2 + 0.8 * chance.nextDouble();
+      case "engine slow" -> e.faults.slow = 2 + 20 * f.amount();
+      case "engine fails" -> e.faults.failShare = 0.2 + 0.8 * f.amount();
       case "answers lost" -> e.faults.loseAnswers = true;
-      case "resets" -> e.faults.resetShare = chance.nextDouble();
-      case "slow handshake" -> e.faults.handshake = Duration.ofMillis(chance.nextInt(800));
+      case "resets" -> e.faults.resetShare = f.amount();
+      case "slow handshake" -> e.faults.handshake = Duration.ofMillis((long) (800 * f.amount()));
       case "engine drains" -> fleet.say(e, ServerList.State.DRAINING);
       case "texts forgotten" -> e.flush();
       case "states lost" -> e.lose();
       case "site cut" -> fleet.engines().stream().filter(x -> x.spec.zone().equals("zone0")).forEach(x -> {
-        x.faults.cutOff = java.util.Set.copyOf(slots.stream().filter(s -> zones == 1 || !s.name.equals("g0")).map(s -> s.name).toList());
+        x.faults.cutOff = java.util.Set.copyOf(slots.stream().filter(s -> plan.zones() == 1 || !s.name.equals("g0")).map(s -> s.name).toList());
         audit.deaf(loop.now(), x.spec.id(), true);
       });
-      case "list late" -> fleet.list.lateness = Duration.ofMillis(chance.nextInt(3000));
+      case "list late" -> fleet.list.lateness = Duration.ofMillis((long) (3000 * f.amount()));
       case "list fails" -> fleet.list.failing = true;
-      case "gateway dies" -> die(slots.get(chance.nextInt(slots.size())), lasts, zones, gateways);
+      case "gateway dies" -> die(slot, lasts);
       case "gateway stands still" -> {
-        Slot s = slots.get(chance.nextInt(slots.size()));
-        if (s.gateway != null) {
-          s.loop.pause(lasts);
-          audit.excuse(s.name, lasts);
+        if (slot.gateway != null) {
+          slot.loop.pause(lasts);
+          audit.excuse(slot.name, lasts);
         }
       }
-      case "slow network" -> net.slowness = 1 + chance.nextInt(10);
+      case "slow network" -> net.slowness = 1 + 10 * f.amount();
       case "burst" -> rate *= 4;
       default -> throw new IllegalStateException(kind);
     }
@@ -302,7 +294,7 @@
     }
   }
 
-  private void die(Slot s, Duration lasts, int zones, int gateways) {
+  private void die(Slot s, Duration lasts) {
     if (s.gateway == null) {
       return;
     }
@@ -312,7 +304,7 @@
     s.gateway = null;
     loop.after(lasts, () -> {
       try {
-        up(s, zones, gateways);
+        up(s);
       } catch (IOException e) {
         throw new IllegalStateException(e);
       }
--- a/src/main/java/gapproxy/standin/Engine.java
+++ b/src/main/java/gapproxy/standin/Engine.java
@@ -287,14 +287,12 @@
       return;
     }
     HttpRequest q = x.request;
-    if (faults.cutOff.contains(String.valueOf(q.header("x-gapproxy-gateway")))) {
-      return;
-    }
+    boolean deaf = faults.silent || faults.cutOff.contains(String.valueOf(q.header("x-gapproxy-gateway")));
     if (decoded instanceof ApiError e) {
       error(x, e);
     } else if (decoded instanceof ChatRequest chat) {
-      chat(x, chat);
-    } else if (faults.silent) {
+      chat(x, chat, deaf);
+    } else if (deaf) {
       return;
     } else if (q.path().equals("/metrics") && q.method().equals("GET")) {
       x.respond(200, Map.of("content-type", "text/plain; version=0.0.4"), metrics().getBytes(StandardCharsets.UTF_8));
@@ -366,7 +364,7 @@
     return told;
   }
 
-  private void chat(Exchange x, ChatRequest chat) {
+  private void chat(Exchange x, ChatRequest chat, boolean deaf) {
     JsonNode kv = chat.body().path("kv_transfer_params");
     boolean reads = kv.path("do_remote_decode").asBoolean();
     StringBuilder text = new StringBuilder();
@@ -378,8 +376,8 @@
     if (tipped) {
       end(j);
       x.cut();
-    } else if (faults.silent) {
-      return;
+    } else if (deaf) {
+      return;                                                 // it is out for its gateway until that gives it up
     } else if (chance.nextDouble() < faults.failShare) {
       end(j);
       error(x, new ApiError(500, "server_error", "standin_fault", null, "a scripted fault"));
--- a/src/test/java/gapproxy/sim/SimTest.java
+++ b/src/test/java/gapproxy/sim/SimTest.java
@@ -2,10 +2,15 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gapproxy.config.Config;
+import gapproxy.config.ConfigErrors;
 import gapproxy.daemon.Logs;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -13,9 +18,12 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** The fleet on virtual time: seeds hold, repeat to the byte, and planted faults are found. */
 class SimTest {
@@ -36,6 +44,31 @@
     assertEquals(List.of(), List.copyOf(broken));
   }
 
+  static Stream<Path> corpus() throws java.io.IOException {
+    return Files.list(Path.of("src/test/resources/corpus")).sorted();
+  }
+
+  @ParameterizedTest
+  @MethodSource("corpus")
+  void eachKnownFailureStaysMended(Path file) throws Exception {
+    Plan plan = Plan.parse(Files.readString(file), file.toString());
+    World.Verdict v = new World(plan, false).run();
+    assertEquals(List.of(), v.found(), plan.about());
+    assertTrue(v.taken() > 20);
+    assertEquals(plan, Plan.parse(plan.json(), "again"));
+  }
+
+  @Test
+  void plansThatAreWrongAreNamedAndBrokenOnesMadeSmall() throws Exception {
+    assertTrue(assertThrows(ConfigErrors.class, () -> Plan.parse("{\"seed\": 1, \"faults\": [{\"kind\": \"x\"}]}", "p")).getMessage()
+        .contains("/faults/0/kind"));
+    Plan big = Plan.parse(Files.readString(Path.of("src/test/resources/corpus/reader-dies-as-it-answers.json")), "p");
+    Plan small = Shrinker.shrink(big, p -> p.faults().stream().filter(f -> f.at() > 2000).count() >= 2 ? List.of("rule 9: x") : List.of());
+    assertEquals(2, small.faults().size());
+    assertEquals(1, small.gateways());
+    assertNull(Shrinker.shrink(big, p -> List.of()));
+  }
+
   @Test
   void aSeedRepeatsToTheByteAndAnotherDoesNot() {
     for (long seed : new long[] {3, 8, 21}) {
