--- a/src/main/java/gapproxy/audit/Audit.java
+++ b/src/main/java/gapproxy/audit/Audit.java
@@ -48,12 +48,14 @@
     final long engine;
     final String req;
     final String gateway;
+    final int life;
     Duration idle;                                            // since when none of the req's forwards is out
 
-    Hold(long engine, String req, String gateway, Duration idle) {
+    Hold(long engine, String req, String gateway, int life, Duration idle) {
       this.engine = engine;
       this.req = req;
       this.gateway = gateway;
+      this.life = life;
       this.idle = idle;
     }
   }
@@ -75,6 +77,7 @@
   private final Set<Long> deaf = new HashSet<>();
   private final Map<String, Duration> excused = new HashMap<>();
   private final Map<String, Duration> gone = new HashMap<>(); // clients that hung up, by mark
+  private final Map<String, Integer> sentIn = new HashMap<>(); // the gateway's life by forward's id
   private final Map<String, String> marks = new HashMap<>();  // the client's mark by forward's id
   private long taken;
   private Duration longestHeld = Duration.ZERO;
@@ -244,6 +247,7 @@
     out.merge(name, 1, Integer::sum);
     forwards.put(id, gateway);
     marks.put(id, req);
+    sentIn.put(id, lives.getOrDefault(gateway, 0));
     holds.forEach((held, h) -> {
       if (h.req.equals(name)) {
         judge(at, h, held);
@@ -267,6 +271,7 @@
       holds.values().stream().filter(h -> h.req.equals(name)).forEach(h -> h.idle = at);
     }
     String gateway = forwards.remove(id);
+    sentIn.remove(id);
     Duration left = gone.get(marks.remove(id));
     if (left != null && gateway != null && up.contains(gateway) && !deaf.contains(engine)
         && at.compareTo(left.plus(figures.release).plus(slack(gateway))) > 0) {
@@ -277,7 +282,8 @@
   @Override
   public void holds(Duration at, long engine, String req, String id) {
     String gateway = forwards.getOrDefault(id, req);
-    holds.put(engine + "/" + id, new Hold(engine, name(id), gateway, out.containsKey(name(id)) ? null : at));
+    int life = sentIn.getOrDefault(id, lives.getOrDefault(gateway, 0));
+    holds.put(engine + "/" + id, new Hold(engine, name(id), gateway, life, out.containsKey(name(id)) ? null : at));
   }
 
   @Override
@@ -289,8 +295,9 @@
   }
 
   private void judge(Duration at, Hold h, String id) {
-    if (h.idle == null || deaf.contains(h.engine) || !up.contains(h.gateway) && !h.gateway.isEmpty() && lives.containsKey(h.gateway)) {
-      return;                                                 // a killed gateway owes nothing any longer
+    boolean killed = lives.containsKey(h.gateway) && (!up.contains(h.gateway) || lives.get(h.gateway) != h.life);
+    if (h.idle == null || deaf.contains(h.engine) || killed) {
+      return;                                                 // a killed gateway owes nothing, nor does the next one for it
     }
     Duration held = at.minus(h.idle);
     if (held.compareTo(longestHeld) > 0) {
