--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -725,14 +725,7 @@
   private final class Clients implements HttpServer.Handler {
     @Override
     public Object decode(HttpRequest q) {
-      if (!q.path().equals("/v1/chat/completions") || !q.method().equals("POST")) {
-        return null;
-      }
-      try {
-        return ChatRequest.parse(q.body());
-      } catch (ApiError e) {
-        return e;
-      }
+      return ChatRequest.decode(q.method(), q.path(), q.body());
     }
 
     @Override
--- a/src/main/java/gapproxy/gateway/Held.java
+++ b/src/main/java/gapproxy/gateway/Held.java
@@ -19,7 +19,6 @@
   private final Loop loop;
   private final Duration each;
   private int freeing;
-  private long late, lost;
 
   Held(Engines engines, Loop loop, Duration within) {
     this.engines = engines;
@@ -51,11 +50,9 @@
         loop.after(each.minus(loop.now().minus(begun)), () -> attempt(at, id, left - 1, unsure && !well));
       } else if (left > -LATER) {
         LOG.atDebug().addKeyValue("engine", at).addKeyValue("id", id).log("not freed yet");
-        late += left == 1 ? 1 : 0;
         freeing -= left == 1 ? 1 : 0;                         // a stop does not wait for it any longer
         loop.after(each.multipliedBy(TRIES + 1), () -> attempt(at, id, left - 1, unsure));
       } else {
-        lost++;
         LOG.atWarn().addKeyValue("engine", at).addKeyValue("id", id).log("could not free what is held");
       }
     });
@@ -65,13 +62,4 @@
   int freeing() {
     return freeing;
   }
-
-  /** Calls that did not go through within the release time, and those that never did. */
-  long late() {
-    return late;
-  }
-
-  long lost() {
-    return lost;
-  }
 }
--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -8,7 +8,6 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import org.glassfish.grizzly.Buffer;
@@ -247,9 +246,9 @@
       boolean last = part.isLast();
       boolean broken = HttpContent.isBroken(part);
       w.response = last ? null : p;
-      Map<String, String> headers = first ? headers(p) : null;
+      Map<String, String> headers = first ? HttpRequest.headers(p.getHeaders()) : null;
       int status = p.getStatus();
-      boolean keep = first && last || last ? keeps(p) : false;
+      boolean keep = last && keeps(p);
       loop.execute(() -> {
         Call c = w.call;
         if (c == null) {
@@ -286,12 +285,4 @@
     return !"close".equalsIgnoreCase(p.getHeader("connection"))
         && p.getProtocol() == org.glassfish.grizzly.http.Protocol.HTTP_1_1 && (p.isChunked() || p.getContentLength() >= 0);
   }
-
-  private static Map<String, String> headers(HttpResponsePacket p) {
-    Map<String, String> headers = new HashMap<>();
-    for (String name : p.getHeaders().names()) {
-      headers.putIfAbsent(name.toLowerCase(Locale.ROOT), p.getHeader(name));
-    }
-    return headers;
-  }
 }
--- a/src/main/java/gapproxy/http/HttpRequest.java
+++ b/src/main/java/gapproxy/http/HttpRequest.java
@@ -1,11 +1,22 @@
 package gapproxy.http;
 
+import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import org.glassfish.grizzly.http.util.MimeHeaders;
 
 /** A whole request; header names are in lower case, of a repeated header the first counts. */
 public record HttpRequest(String method, String path, String query, Map<String, String> headers, byte[] body) {
 
+  /** Headers by their names in lower case. */
+  static Map<String, String> headers(MimeHeaders from) {
+    Map<String, String> headers = new HashMap<>();
+    for (String name : from.names()) {
+      headers.putIfAbsent(name.toLowerCase(Locale.ROOT), from.getHeader(name));
+    }
+    return headers;
+  }
+
   /** A header's value, or null. */
   public String header(String name) {
     return headers.get(name.toLowerCase(Locale.ROOT));
--- a/src/main/java/gapproxy/http/HttpServer.java
+++ b/src/main/java/gapproxy/http/HttpServer.java
@@ -6,10 +6,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntFunction;
@@ -267,10 +265,7 @@
   }
 
   private static HttpRequest request(HttpRequestPacket p, byte[] body) {
-    Map<String, String> headers = new HashMap<>();
-    for (String name : p.getHeaders().names()) {
-      headers.putIfAbsent(name.toLowerCase(Locale.ROOT), p.getHeader(name));
-    }
-    return new HttpRequest(p.getMethod().getMethodString(), p.getRequestURI(), p.getQueryString(), headers, body);
+    return new HttpRequest(p.getMethod().getMethodString(), p.getRequestURI(), p.getQueryString(),
+        HttpRequest.headers(p.getHeaders()), body);
   }
 }
--- a/src/main/java/gapproxy/openai/ChatRequest.java
+++ b/src/main/java/gapproxy/openai/ChatRequest.java
@@ -33,6 +33,18 @@
   private static final int MOST_TOKENS = 10_000_000;
   private static final int PER_MESSAGE = 4;                   // tokens that frame a message in common chat templates
 
+  /** What came to a server: a chat completion asked for, the error in it, or null where it is something else. */
+  public static Object decode(String method, String path, byte[] body) {
+    if (!path.equals("/v1/chat/completions") || !method.equals("POST")) {
+      return null;
+    }
+    try {
+      return parse(body);
+    } catch (ApiError e) {
+      return e;
+    }
+  }
+
   /** @throws ApiError if it is not a valid request; the error names the place */
   public static ChatRequest parse(byte[] bytes) {
     JsonNode all;
--- a/src/main/java/gapproxy/sim/SimNet.java
+++ b/src/main/java/gapproxy/sim/SimNet.java
@@ -9,7 +9,6 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -38,8 +37,8 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 
 /**
- * A network in memory. Bytes arrive in order, cut anywhere or run together, after a latency with jitter; links between
- * hosts can be slow, cut in one direction or both; connects can be refused. Chains are the daemon's own above the first filter.
+ * A network in memory. Bytes arrive in order, cut anywhere or run together, after a latency with jitter; connects
+ * can be refused and news of a close late. Chains are the daemon's own above the first filter.
  */
 final class SimNet {
   private static final TCPNIOTransport TRANSPORT = TCPNIOTransportBuilder.newInstance().build();
@@ -58,7 +57,6 @@
   private final SplittableRandom chance;
   private final Map<InetSocketAddress, Bound> ports = new HashMap<>();
   private final Set<End> open = new LinkedHashSet<>();
-  private final Set<String> cut = new HashSet<>();            // from>to
   private final CRC32 seen = new CRC32();
   private final String cutting;
   private int nextPort = 10_000;
@@ -83,15 +81,6 @@
     return open.size();
   }
 
-  void cut(String from, String to, boolean on) {
-    if (on) {
-      cut.add(from + ">" + to);
-    } else {
-      cut.remove(from + ">" + to);
-      List.copyOf(open).forEach(End::pump);
-    }
-  }
-
   /** The network as one process sees it. */
   Net host(String name, SimLoop loop) {
     return new Host(name, loop);
@@ -142,9 +131,6 @@
           then.failed(new ConnectException("refused"));
           return;
         }
-        if (cut.contains(name + ">" + b.host.name) || cut.contains(b.host.name + ">" + name)) {
-          return;                                             // lost on the way: the caller's own limit ends it
-        }
         End here = new End(this, filters.get());
         End there = new End(b.host, b.filters.get());
         here.peer = there;
@@ -249,7 +235,7 @@
       begun = arriving.size() > 1;
       scheduler.after(streaming ? Duration.ofNanos(1000) : delay(), () -> {
         pumping = false;
-        if (ended || host.loop.dead() || !reading || cut.contains(peer.host.name + ">" + host.name)) {
+        if (ended || host.loop.dead() || !reading) {
           return;                                             // goes on when that is over
         }
         int parts = cutting.equals("single") || cutting.equals("mixed") && chance.nextInt(3) == 0 ? 1 : 40;
--- a/src/main/java/gapproxy/standin/Engine.java
+++ b/src/main/java/gapproxy/standin/Engine.java
@@ -257,14 +257,7 @@
 
   @Override
   public Object decode(HttpRequest q) {
-    if (!q.method().equals("POST") || !q.path().equals("/v1/chat/completions")) {
-      return null;
-    }
-    try {
-      return ChatRequest.parse(q.body());
-    } catch (ApiError e) {
-      return e;
-    }
+    return ChatRequest.decode(q.method(), q.path(), q.body());
   }
 
   @Override
--- a/src/main/java/gapproxy/standin/Faults.java
+++ b/src/main/java/gapproxy/standin/Faults.java
@@ -24,18 +24,4 @@
   public java.util.Set<String> cutOff = java.util.Set.of();
   /** States come over the wire so many times slower. */
   public double slowLinks = 1;
-
-  public void clear() {
-    Faults none = new Faults();
-    slow = none.slow;
-    failShare = none.failShare;
-    resetShare = none.resetShare;
-    silent = none.silent;
-    loseAnswers = none.loseAnswers;
-    handshake = none.handshake;
-    lag = none.lag;
-    reportLate = none.reportLate;
-    slowLinks = none.slowLinks;
-    cutOff = none.cutOff;
-  }
 }
