--- a/src/main/java/gapproxy/daemon/Demo.java
+++ b/src/main/java/gapproxy/daemon/Demo.java
@@ -55,6 +55,25 @@
       }
     }
     node = n;
+    awaitList();
+  }
+
+  /** Says that it is ready only when it is: a req that came before the list would be pushed back. */
+  private void awaitList() throws IOException {
+    boolean[] ready = new boolean[1];
+    for (int i = 0; i < 500 && !ready[0]; i++) {
+      try {
+        Thread.sleep(10);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        break;
+      }
+      node.loop().call(() -> ready[0] = node.gateway().ready());
+    }
+    if (!ready[0]) {
+      close();
+      throw new IOException("the list of servers did not come within 5 s");
+    }
   }
 
   public InetSocketAddress address() {
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -173,6 +173,11 @@
     return server.address();
   }
 
+  /** Whether the list names a server that is ready. On the loop. */
+  public boolean ready() {
+    return fleet.anyReady();
+  }
+
   public Counts counts() {
     return counts;
   }
