Twelve more kinds of faults on the virtual clock; what they found in list, frees and start times mended

Need: the simulation lacked one-way cuts, connects that hang, narrow links, clock jumps, late and wrong reports, lost and old lists, drains in waves, torn files, retries at once, more hang-ups, and keyed reqs whose client comes back.

A server's start is worked out once, so that a wall clock that is set does not look like a restart, and one that is ahead does not make a cold server warm. Faults can wait for a req's stage; gateways tell a watcher of events by stage, for coverage.

--- a/src/main/java/gapproxy/audit/Audit.java
+++ b/src/main/java/gapproxy/audit/Audit.java
@@ -130,6 +130,10 @@
   public void asked(Duration at, String req, int n, String gateway, String repeat, Duration budget) {
     taken++;
     gone.remove(req);
+    List<Ran> before = ran.get(req);
+    if (before != null && n == 0 && at.minus(before.get(0).at).compareTo(figures.window) > 0) {
+      ran.remove(req);                                        // its client itself wants it anew, past the window
+    }
     tries.put(req + "#" + n, new Try(at, at.plus(budget), gateway, lives.getOrDefault(gateway, 0), repeat));
   }
 
--- a/src/main/java/gapproxy/gateway/Fleet.java
+++ b/src/main/java/gapproxy/gateway/Fleet.java
@@ -24,7 +24,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
 
   /** A server, as the last list that named it says. */
-  record Server(ServerList.Entry entry, Role role) {
+  record Server(ServerList.Entry entry, Role role, Duration up) {
     long id() {
       return entry.id();
     }
@@ -39,6 +39,7 @@
   private final Consumer<InetSocketAddress> unused;
   private final Map<Long, Server> servers = new HashMap<>();
   private final Map<Long, ServerList.Entry> listed = new TreeMap<>();
+  private Duration lastList;                                  // when the last one came from its source, on the loop's clock
 
   /** @param unused told of addresses that no server has any longer */
   Fleet(Config config, Loop loop, Consumer<InetSocketAddress> unused) {
@@ -75,7 +76,9 @@
             .log("a server of the list has a kind or zone that the settings do not know; it is left out");
         continue;
       }
-      Server before = servers.put(e.id(), new Server(e, role(kind)));
+      Server before = servers.get(e.id());
+      Duration up = up(e, before);
+      servers.put(e.id(), new Server(e, role(kind), up));
       if (before != null && !before.address().equals(e.address())) {
         unused.accept(before.address());
       }
@@ -85,14 +88,28 @@
       } else {
         listed.put(e.id(), e);
       }
-      Duration up = e.upSince() == null ? null
-          : loop.now().minus(Duration.between(e.upSince(), loop.wall()));
       lines.add(new Event.Line(e.id(), zone, kind, cell(e), Event.State.valueOf(e.state().name()), e.size(), up));
     }
+    lastList = remembered ? null : loop.now();
     return new Event.ServerList(remembered ? Event.ListForm.REMEMBERED
         : list.complete() ? Event.ListForm.COMPLETE : Event.ListForm.CHANGES, lines);
   }
 
+  /**
+   * Since when a server runs, on the loop's clock. Worked out once for each start: the wall clock may be set meanwhile, and a start that
+   * moves looks like another one. Guards against a wall clock that is ahead: a start that the list before did not have came after
+   * that list, so such a server is not taken for a warm one.
+   */
+  private Duration up(ServerList.Entry e, Server before) {
+    if (e.upSince() == null) {
+      return null;
+    } else if (before != null && e.upSince().equals(before.entry().upSince())) {
+      return before.up();
+    }
+    Duration told = loop.now().minus(Duration.between(e.upSince(), loop.wall()));
+    return lastList != null && told.compareTo(lastList) < 0 ? lastList : told;
+  }
+
   private int kind(String name) {
     for (int i = 0; i < config.kinds().size(); i++) {
       if (Objects.equals(config.kinds().get(i).name(), name)) {
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -37,7 +37,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.BiConsumer;
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -79,6 +83,7 @@
   private long numbers;
   private double ratio = 1;
   private boolean stopping;
+  private BiConsumer<String, String> watcher = (stage, event) -> { };
 
   /** Figures since the start. */
   public static final class Counts {
@@ -181,6 +186,18 @@
     return fleet.anyReady();
   }
 
+  /** Tells of each event of a req and the stage at which it came, and of each answer that is given to it. */
+  public void watch(BiConsumer<String, String> told) {
+    watcher = told;
+  }
+
+  /** The stages at which reqs stand. */
+  public Set<String> stages() {
+    Set<String> all = new TreeSet<>();
+    reqs.values().forEach(r -> all.add(r.stage().name()));
+    return all;
+  }
+
   public Counts counts() {
     return counts;
   }
@@ -449,6 +466,7 @@
       end(f, Outcome.CANCELLED, 0, "another forward was first");
       return;
     }
+    watcher.accept(r.stage().name(), "first token");
     f.begun = true;
     r.begun = f;
     f.limit.cancel();
@@ -560,6 +578,7 @@
       return;
     }
     Req r = f.req;
+    watcher.accept(r.stage().name(), f.kind.name().toLowerCase(Locale.ROOT) + " ended " + how.name().toLowerCase(Locale.ROOT));
     f.how = how;
     f.why = why;
     if (f.limit != null) {
@@ -602,6 +621,7 @@
       if (!well && r.place == p) {
         r.place = null;
       }
+      watcher.accept(r.stage().name(), well ? "place held" : "place refused");
       if (forward >= 0 && r.forwards.get(forward).out()) {
         pending.add(new Event.Held(r.number, forward, s.id(), well));
       }
@@ -637,6 +657,7 @@
       return;
     }
     Stage stage = r.stage();
+    watcher.accept(stage.name(), "answer " + end);
     r.answered = true;
     r.limit.cancel();
     give.run();
--- a/src/main/java/gapproxy/gateway/Held.java
+++ b/src/main/java/gapproxy/gateway/Held.java
@@ -8,28 +8,28 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Frees states and places at engines, and tries again, first while the release time runs and then each time it has passed
- * once more, until engines have surely forgotten by themselves. Guards against a call lost on the way:
+ * Frees states and places at engines, and tries again, first at once, then for half a minute
+ * more, by when engines have surely forgotten by themselves. Guards against a call lost on the way:
  * what stays pinned takes memory from every other req of that engine.
  */
 final class Held {
   private static final Logger LOG = LoggerFactory.getLogger(Held.class);
-  private static final int TRIES = 4, LATER = 30;
+  private static final int TRIES = 4, LATER = 75;
   private final Engines engines;
   private final Loop loop;
-  private final Duration each;
+  private final Duration within, each;
   private int freeing;
 
   Held(Engines engines, Loop loop, Duration within) {
     this.engines = engines;
     this.loop = loop;
+    this.within = within;
     each = within.dividedBy(TRIES + 1);
   }
 
   /** Frees what is known to be held. */
   void free(InetSocketAddress at, String id) {
-    freeing++;
-    attempt(at, id, TRIES, false);
+    new Freeing(at, id, false).next();
   }
 
   /**
@@ -37,25 +37,58 @@
    * news of its closed connection: where nothing was held yet it is asked once more.
    */
   void freeLater(InetSocketAddress at, String id) {
-    freeing++;
-    attempt(at, id, TRIES, true);
+    new Freeing(at, id, true).next();
   }
 
-  private void attempt(InetSocketAddress at, String id, int left, boolean unsure) {
-    Duration begun = loop.now();
-    engines.release(at, id, each, (well, any) -> {
-      if (well && (any || !unsure)) {
-        freeing -= left >= 1 ? 1 : 0;
-      } else if (left > 1) {
-        loop.after(each.minus(loop.now().minus(begun)), () -> attempt(at, id, left - 1, unsure && !well));
-      } else if (left > -LATER) {
+  /**
+   * One state or place that is to be freed. The first calls overlap and each may take the whole release time: an engine that is slow to
+   * open connections would else see only calls given up too early. Later ones follow one another until the engine hears again.
+   */
+  private final class Freeing {
+    private final InetSocketAddress at;
+    private final String id;
+    private boolean unsure, over;
+    private int calls;
+
+    Freeing(InetSocketAddress at, String id, boolean unsure) {
+      this.at = at;
+      this.id = id;
+      this.unsure = unsure;
+      freeing++;
+    }
+
+    void next() {
+      if (over) {
+        return;
+      }
+      calls++;
+      boolean early = calls <= TRIES;
+      if (calls == TRIES + 1) {
         LOG.atDebug().addKeyValue("engine", at).addKeyValue("id", id).log("not freed yet");
-        freeing -= left == 1 ? 1 : 0;                         // a stop does not wait for it any longer
-        loop.after(each.multipliedBy(TRIES + 1), () -> attempt(at, id, left - 1, unsure));
-      } else {
+        freeing--;                                            // a stop does not wait for it any longer
+      } else if (calls > TRIES + LATER) {
+        over = true;
         LOG.atWarn().addKeyValue("engine", at).addKeyValue("id", id).log("could not free what is held");
+        return;
+      }
+      Duration begun = loop.now();
+      engines.release(at, id, early ? within : each.multipliedBy(2), (well, any) -> {
+        if (over) {
+          return;
+        } else if (well && (any || !unsure)) {
+          over = true;
+          freeing -= calls <= TRIES ? 1 : 0;
+        } else {
+          unsure &= !well;
+          if (!early) {
+            loop.after(each.multipliedBy(2).minus(loop.now().minus(begun)), this::next);
+          }
+        }
+      });
+      if (early) {
+        loop.after(each, this::next);
       }
-    });
+    }
   }
 
   /** Calls that are on their way. */
--- a/src/main/java/gapproxy/list/PollSource.java
+++ b/src/main/java/gapproxy/list/PollSource.java
@@ -24,6 +24,7 @@
   private final Listener listener;
   private String epoch = "";
   private long index;
+  private boolean whole = true;                               // what came since the last answer is not known
   private HttpClient.Call call;
   private Loop.Timer limit;
   private boolean closed;
@@ -49,7 +50,7 @@
 
   private void poll() {
     ByteArrayOutputStream body = new ByteArrayOutputStream();
-    String query = "?index=" + index + "&epoch=" + epoch + "&wait_ms=" + wait.toMillis();
+    String query = "?index=" + (whole ? 0 : index) + "&epoch=" + (whole ? "" : epoch) + "&wait_ms=" + wait.toMillis();
     limit = loop.after(wait.multipliedBy(2).plus(connectWithin), () -> fail("no answer within twice the wait"));
     call = http.call(to, "GET", path + query, Map.of("x-gapproxy-gateway", gateway), new byte[0], connectWithin,
         new HttpClient.Listener() {
@@ -97,11 +98,12 @@
       return;
     }
     boolean sameHistory = l.epoch().equals(epoch);
-    if (sameHistory && l.index() < index || !l.complete() && !sameHistory) {
+    if (sameHistory && l.index() < index || !l.complete() && (!sameHistory || whole)) {
       fail("index " + l.index() + " after " + index + ", or changes to a list that is not held");
       return;
     }
     boolean news = !sameHistory || l.index() > index;
+    whole = false;
     epoch = l.epoch();
     index = l.index();
     if (news) {
@@ -120,14 +122,13 @@
     }
   }
 
-  /** Asks for all again next time: what came between is not known. */
+  /** Asks for all again next time, and still takes nothing older than what is held: a list that comes back old is not news. */
   private void fail(String why) {
     if (call != null) {
       call.cancel();
       call = null;
     }
-    epoch = "";
-    index = 0;
+    whole = true;
     if (!closed) {
       listener.failed(why);
     }
--- a/src/main/java/gapproxy/sim/Plan.java
+++ b/src/main/java/gapproxy/sim/Plan.java
@@ -18,11 +18,22 @@
 public record Plan(String about, long seed, int gateways, int zones, int readers, int writers, double pace, double rate,
     boolean shuffle, String bytes, List<Fault> faults) {
 
-  public record Fault(String kind, @JsonProperty("at_ms") int at, @JsonProperty("for_ms") int lasts, int which, double amount) {}
+  /**
+   * One thing that goes wrong.
+   *
+   * @param at    milliseconds from the start
+   * @param lasts milliseconds until it is over
+   * @param which engine or gateway, counted round
+   * @param when  a stage: it waits from {@code at} on for a req that stands there; empty for at once
+   */
+  public record Fault(String kind, @JsonProperty("at_ms") int at, @JsonProperty("for_ms") int lasts, int which, double amount,
+      String when) {}
 
   static final List<String> KINDS = List.of("engine dies", "engine silent", "engine slow", "engine fails", "answers lost",
       "resets", "slow handshake", "engine drains", "texts forgotten", "states lost", "site cut", "list late", "list fails",
-      "gateway dies", "gateway stands still", "slow network", "burst");
+      "gateway dies", "gateway stands still", "slow network", "burst",
+      "one-way cut", "connects hang", "narrow network", "clock jumps", "reports late", "reports wrong", "list lost", "list old",
+      "drains in waves", "torn list", "retries at once", "hang-ups");
   private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
 
   /** The plan of a seed: up to four faults that may overlap. */
@@ -32,7 +43,7 @@
     int n = chance.nextInt(5);
     for (int i = 0; i < n; i++) {
       faults.add(new Fault(KINDS.get(chance.nextInt(KINDS.size())), 300 + chance.nextInt(5000), 20 + chance.nextInt(2500),
-          chance.nextInt(1000), chance.nextDouble()));
+          chance.nextInt(1000), chance.nextDouble(), ""));
     }
     String[] bytes = {"mixed", "mixed", "mixed", "single", "together"};
     return new Plan("", seed, 1 + chance.nextInt(3), 1 + chance.nextInt(2), chance.nextInt(3), 1 + chance.nextInt(3),
@@ -40,6 +51,16 @@
         List.copyOf(faults));
   }
 
+  /** The plan of a seed with one more fault, which waits for a req at a stage: how the generator is steered. */
+  public static Plan aimed(long seed, String kind, String stage) {
+    Plan p = of(seed);
+    SplittableRandom chance = new SplittableRandom(seed ^ 0x61696dL);
+    List<Fault> all = new ArrayList<>(p.faults);
+    all.add(new Fault(kind, 300 + chance.nextInt(3000), 20 + chance.nextInt(2500), chance.nextInt(1000), chance.nextDouble(), stage));
+    return new Plan("aimed at " + kind + " while " + stage, seed, p.gateways, p.zones, Math.max(1, p.readers), p.writers, p.pace, p.rate,
+        p.shuffle, p.bytes, List.copyOf(all));
+  }
+
   /** @throws ConfigErrors if it is not a valid plan; every error with its place */
   public static Plan parse(String text, String name) throws ConfigErrors {
     try (InputStream in = Plan.class.getResourceAsStream("plan.schema.json")) {
@@ -90,7 +111,7 @@
       Fault f = faults.get(i);
       if (f.lasts > 40) {
         List<Fault> shorter = new ArrayList<>(faults);
-        shorter.set(i, new Fault(f.kind, f.at, f.lasts / 2, f.which, f.amount));
+        shorter.set(i, new Fault(f.kind, f.at, f.lasts / 2, f.which, f.amount, f.when));
         all.add(with(gateways, zones, readers, shorter));
       }
     }
--- a/src/main/java/gapproxy/sim/SimDisk.java
+++ b/src/main/java/gapproxy/sim/SimDisk.java
@@ -13,6 +13,11 @@
   private static final Duration SEEK = Duration.ofMillis(2);
   private final Map<Path, byte[]> files = new HashMap<>();
 
+  /** Leaves a part of each file, as a disk that lost its last writes would. */
+  void tear(double part) {
+    files.replaceAll((path, bytes) -> java.util.Arrays.copyOf(bytes, (int) (bytes.length * part)));
+  }
+
   @Override
   public void read(Path file, Loop loop, Consumer<byte[]> then) {
     loop.after(SEEK, () -> then.accept(files.get(file)));
--- a/src/main/java/gapproxy/sim/SimLoop.java
+++ b/src/main/java/gapproxy/sim/SimLoop.java
@@ -19,6 +19,7 @@
   private final List<Runnable> idle = new ArrayList<>();
   private final Set<Due> timers = new HashSet<>();
   private Duration awake = Duration.ZERO;
+  private Duration jumped = Duration.ZERO;
   private boolean turning;
   private boolean dead;
 
@@ -44,7 +45,7 @@
 
   @Override
   public Instant wall() {
-    return EPOCH.plus(scheduler.now());
+    return EPOCH.plus(scheduler.now()).plus(jumped);
   }
 
   @Override
@@ -104,6 +105,11 @@
     awake = scheduler.now().plus(span);
   }
 
+  /** The wall clock is set: from now on it is off by so much more. */
+  void jump(Duration by) {
+    jumped = jumped.plus(by);
+  }
+
   void kill() {
     dead = true;
     inbox.clear();
--- a/src/main/java/gapproxy/sim/SimNet.java
+++ b/src/main/java/gapproxy/sim/SimNet.java
@@ -44,6 +44,7 @@
   private static final TCPNIOTransport TRANSPORT = TCPNIOTransportBuilder.newInstance().build();
   private static final SocketChannel CHANNEL = channel();
   private static final int PIECE = 4096, SINGLE = 400;
+  private static final Duration AGAIN = Duration.ofMillis(20); // when what was lost is sent anew
 
   private static SocketChannel channel() {
     try {
@@ -63,7 +64,28 @@
   Duration latency = Duration.ofNanos(300_000);
   double jitter = 1;
   double slowness = 1;
+  double narrow;                                              // bytes a second of each connection; 0 for no limit
   long bytes;
+  private final Map<String, Integer> cuts = new HashMap<>();  // directed pairs of processes
+  private final Set<InetSocketAddress> deafPorts = new LinkedHashSet<>();
+
+  /** Nothing comes through from one process to another, or all does again; what waits is sent anew, as TCP would. */
+  void cut(String from, String to, boolean on) {
+    cuts.merge(from + ">" + to, on ? 1 : -1, Integer::sum);
+  }
+
+  private boolean cut(Host from, Host to) {
+    return cuts.getOrDefault(from.name + ">" + to.name, 0) > 0;
+  }
+
+  /** A port takes no connection and refuses none, as one whose queue of new connections is full. */
+  void full(InetSocketAddress port, boolean on) {
+    if (on) {
+      deafPorts.add(port);
+    } else {
+      deafPorts.remove(port);
+    }
+  }
 
   /** @param cutting how what is sent is cut: mixed, single or together */
   SimNet(Scheduler scheduler, SplittableRandom chance, String cutting) {
@@ -127,6 +149,10 @@
         if (loop.dead()) {
           return;
         }
+        if (deafPorts.contains(to) || b != null && (cut(this, b.host) || cut(b.host, this))) {
+          scheduler.after(AGAIN, () -> connect(to, filters, then));
+          return;
+        }
         if (b == null || b.host.loop.dead()) {
           then.failed(new ConnectException("refused"));
           return;
@@ -233,11 +259,21 @@
       pumping = true;
       boolean streaming = cutting.equals("single") && begun;  // bytes follow each other at once, the first after a delay
       begun = arriving.size() > 1;
-      scheduler.after(streaming ? Duration.ofNanos(1000) : delay(), () -> {
+      int size = narrow == 0 ? 0 : arriving.stream().mapToInt(p -> p.bytes.length).sum();
+      Duration carried = Duration.ofNanos(narrow == 0 ? 0 : (long) (size / narrow * 1e9));
+      scheduler.after(streaming ? Duration.ofNanos(1000) : delay().plus(carried), () -> {
         pumping = false;
         if (ended || host.loop.dead() || !reading) {
           return;                                             // goes on when that is over
         }
+        if (cut(peer.host, host)) {
+          pumping = true;
+          scheduler.after(AGAIN, () -> {
+            pumping = false;
+            pump();
+          });
+          return;
+        }
         int parts = cutting.equals("single") || cutting.equals("mixed") && chance.nextInt(3) == 0 ? 1 : 40;
         java.io.ByteArrayOutputStream all = new java.io.ByteArrayOutputStream();
         boolean end = false;
--- a/src/main/java/gapproxy/sim/World.java
+++ b/src/main/java/gapproxy/sim/World.java
@@ -18,8 +18,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
@@ -29,12 +31,12 @@
 public final class World {
   private static final Duration BUDGET = Duration.ofSeconds(3), SLACK = Duration.ofMillis(60),
       GRACE = Duration.ofMillis(500), RELEASE = Duration.ofSeconds(1), TROUBLE = Duration.ofSeconds(5),
-      LIMIT = Duration.ofSeconds(60), RECOVERED = Duration.ofSeconds(12);
+      LIMIT = Duration.ofSeconds(60), RECOVERED = Duration.ofSeconds(12), WINDOW = Duration.ofSeconds(10);
   private static final Map<String, Config> CONFIGS = new ConcurrentHashMap<>();
 
   /** What a seed showed; {@code found} is empty where all held. */
   public record Verdict(long seed, List<String> found, long steps, Duration span, long taken, Map<String, Long> ends,
-      Map<String, Integer> faults, long bytes, long trace, List<String> timeline) {
+      Map<String, Integer> faults, Map<String, Long> coverage, long bytes, long trace, List<String> timeline) {
     public boolean held() {
       return found.isEmpty();
     }
@@ -58,14 +60,16 @@
   private final SimNet net;
   private final SimDisk disk = new SimDisk();
   private final SimLoop loop;
-  private final Audit audit = new Audit(new Audit.Figures(GRACE, RELEASE, Duration.ofSeconds(10), SLACK));
+  private final Audit audit = new Audit(new Audit.Figures(GRACE, RELEASE, WINDOW, SLACK));
   private final List<Slot> slots = new ArrayList<>();
   private final Map<String, Integer> faults = new TreeMap<>();
   private final List<String> found = new ArrayList<>();
   private final List<String> timeline;
   private Fleet fleet;
   private ChatClient clients;
-  private int asks, open, doneLate;
+  private final List<Plan.Fault> armed = new ArrayList<>();   // that wait for a stage
+  private final Map<String, Long> coverage = new TreeMap<>();
+  private int asks, open, doneLate, impatient, leaving;
   private double rate;
   private boolean ended;
 
@@ -98,13 +102,18 @@
     } catch (IOException e) {
       throw new IllegalStateException(e);
     }
-    scheduler.run(LIMIT, () -> audit.brokenSoFar() == 0 && !ended);
+    scheduler.run(LIMIT, () -> {
+      if (!armed.isEmpty()) {
+        fire();
+      }
+      return audit.brokenSoFar() == 0 && !ended;
+    });
     audit.finish(loop.now()).broken().forEach(b -> found.add("rule " + b.rule() + ": " + b.what()));
     if (found.isEmpty()) {
       leftBehind();
     }
     Audit.Report r = audit.finish(loop.now());
-    return new Verdict(plan.seed(), List.copyOf(found), scheduler.done(), scheduler.now(), r.taken(), r.ends(), faults, net.bytes,
+    return new Verdict(plan.seed(), List.copyOf(found), scheduler.done(), scheduler.now(), r.taken(), r.ends(), faults, coverage, net.bytes,
         net.trace(), timeline == null ? List.of() : timeline);
   }
 
@@ -146,7 +155,13 @@
     }
     loop.after(Duration.ofMillis(300), this::next);
     for (Plan.Fault f : plan.faults()) {
-      loop.after(Duration.ofMillis(f.at()), () -> fault(f));
+      loop.after(Duration.ofMillis(f.at()), () -> {
+        if (f.when().isEmpty()) {
+          fault(f);
+        } else {
+          armed.add(f);
+        }
+      });
     }
     loop.after(TROUBLE.plus(RECOVERED), this::settle);
   }
@@ -169,6 +184,7 @@
     Config c = CONFIGS.computeIfAbsent(s.name + "/" + plan.zones() + "/" + plan.gateways() + "/" + fleet.list.address().getPort(),
         k -> config(s, zone, plan.zones(), plan.gateways()));
     s.gateway = new Gateway(c, s.loop, s.host, disk, chance.nextLong());
+    s.gateway.watch((stage, event) -> coverage.merge(stage + " / " + event, 1L, Long::sum));
     s.gateway.start();
     tell(s.name + " is up");
   }
@@ -212,22 +228,51 @@
     int kind = chance.nextInt(10);
     String repeat = kind < 2 ? "non_replayable" : kind < 4 ? "keyed" : "replayable";
     int words = chance.nextInt(4) == 0 ? 800 : 10 + chance.nextInt(60);
-    boolean leaves = !late && chance.nextInt(6) == 0;
+    boolean leaves = !late && chance.nextInt(leaving > 0 ? 2 : 6) == 0;
     Ask a = new Ask("r" + asks++, kind < 2 ? "order" : kind < 4 ? "tweak" : "draft", repeat, chance.nextInt(4) > 0,
         chance.nextInt(3) == 0 ? "" : "shared words", "s" + chance.nextInt(8), "ask " + "word ".repeat(words),
         1 + (chance.nextInt(8) == 0 ? chance.nextInt(90) : chance.nextInt(6)), BUDGET, leaves ? Duration.ofMillis(chance.nextInt(200)) : null,
-        leaves ? 1 + chance.nextInt(4) : 0, late ? 3 : 1, chance.nextBoolean());
+        leaves ? 1 + chance.nextInt(4) : 0, late ? 3 : impatient > 0 ? 4 : 1,
+        chance.nextBoolean() && impatient == 0);
+    boolean returns = leaves && repeat.equals("keyed") && chance.nextBoolean();
+    Duration away = Duration.ofMillis(chance.nextBoolean() ? 50 + chance.nextInt(2000) : WINDOW.toMillis() + 500);
     Slot s = slots.get(chance.nextInt(slots.size()));
+    send(a, s, late, returns ? away : null);
+  }
+
+  /** @param back after how long a client that left comes back with the same mark and key, within the window or past it; or null */
+  private void send(Ask a, Slot s, boolean late, Duration back) {
     open++;
     clients.ask(a, () -> new ChatClient.Target(s.name, s.at), o -> {
       open--;
+      if (back != null && o.how() == null) {
+        Ask again = new Ask(a.req(), a.model(), a.repeat(), a.stream(), a.system(), a.session(), a.text(), a.answer(), a.budget(), null, 0,
+            0, true);
+        loop.after(back, () -> send(again, s, false, null));
+      }
       doneLate += late && o.how() == Traffic.Answer.DONE ? 1 : 0;
-      tell(a.req() + " (" + repeat + ", " + s.name + "): " + (o.how() == null ? "left" : o.how()) + ", tries " + o.tries());
+      tell(a.req() + " (" + a.repeat() + ", " + s.name + "): " + (o.how() == null ? "left" : o.how()) + ", tries " + o.tries());
     });
   }
 
   // ---- faults
 
+  private Set<String> stages() {
+    Set<String> all = new TreeSet<>();
+    slots.stream().filter(s -> s.gateway != null).forEach(s -> all.addAll(s.gateway.stages()));
+    return all;
+  }
+
+  private void fire() {
+    Set<String> now = stages();
+    for (Plan.Fault f : List.copyOf(armed)) {
+      if (now.contains(f.when()) || loop.now().compareTo(TROUBLE) > 0) {
+        armed.remove(f);
+        fault(f);
+      }
+    }
+  }
+
   private void fault(Plan.Fault f) {
     String kind = f.kind();
     Duration lasts = Duration.ofMillis(f.lasts());
@@ -235,6 +280,7 @@
     List<Engine> all = List.copyOf(fleet.engines());
     Engine e = all.get(f.which() % all.size());
     Slot slot = slots.get(f.which() % slots.size());
+    stages().forEach(s -> coverage.merge(s + " / " + kind, 1L, Long::sum));
     tell(kind + " for " + lasts.toMillis() + " ms (engine " + e.spec.id() + ", " + slot.name + ")");
     switch (kind) {
       case "engine dies" -> fleet.restart(e, lasts);
@@ -265,13 +311,47 @@
       }
       case "slow network" -> net.slowness = 1 + 10 * f.amount();
       case "burst" -> rate *= 4;
+      case "one-way cut" -> {
+        cut(slot, f.amount(), true);
+        audit.excuse(slot.name, lasts);                       // what it does not hear, or can't say, is not its fault
+        all.forEach(x -> audit.deaf(loop.now(), x.spec.id(), true));
+      }
+      case "connects hang" -> {
+        net.full(e.address(), true);
+        audit.deaf(loop.now(), e.spec.id(), true);
+      }
+      case "narrow network" -> net.narrow = 300_000 + 2_000_000 * f.amount();
+      case "clock jumps" -> slot.loop.jump(Duration.ofMillis((long) (10_000 * (f.amount() - 0.5))));
+      case "reports late" -> all.forEach(x -> x.faults.reportLate = Duration.ofMillis((long) (3000 * f.amount())));
+      case "reports wrong" -> e.faults.reportWrong = 1 + (int) (2.99 * f.amount());
+      case "list lost" -> fleet.list.losing = true;
+      case "list old" -> fleet.list.old = true;
+      case "drains in waves" -> {
+        for (int i = 0; i < all.size(); i++) {
+          Engine x = all.get(i);
+          loop.after(lasts.multipliedBy(i).dividedBy(all.size()), () -> fleet.say(x, ServerList.State.DRAINING));
+          loop.after(lasts.multipliedBy(i + 1).dividedBy(all.size()), () -> fleet.say(x, ServerList.State.READY));
+        }
+      }
+      case "torn list" -> {
+        disk.tear(f.amount());
+        die(slot, lasts);
+      }
+      case "retries at once" -> impatient++;
+      case "hang-ups" -> leaving++;
       default -> throw new IllegalStateException(kind);
     }
-    loop.after(lasts, () -> heal(kind, e));
+    loop.after(lasts, () -> heal(f, e, slot));
   }
 
-  private void heal(String kind, Engine e) {
-    switch (kind) {
+  private void cut(Slot s, double amount, boolean on) {
+    String from = amount < 0.33 ? s.name : amount < 0.67 ? "world" : s.name;
+    String to = amount < 0.33 ? "world" : amount < 0.67 ? s.name : "clients";
+    net.cut(from, to, on);
+  }
+
+  private void heal(Plan.Fault f, Engine e, Slot slot) {
+    switch (f.kind()) {
       case "engine silent" -> {
         e.faults.silent = false;
         audit.deaf(loop.now(), e.spec.id(), false);
@@ -290,6 +370,21 @@
       case "list fails" -> fleet.list.failing = false;
       case "slow network" -> net.slowness = 1;
       case "burst" -> rate /= 4;
+      case "one-way cut" -> {
+        cut(slot, f.amount(), false);
+        fleet.engines().forEach(x -> audit.deaf(loop.now(), x.spec.id(), x.faults.silent || !x.faults.cutOff.isEmpty()));
+      }
+      case "connects hang" -> {
+        net.full(e.address(), false);
+        audit.deaf(loop.now(), e.spec.id(), e.faults.silent);
+      }
+      case "narrow network" -> net.narrow = 0;
+      case "reports late" -> fleet.engines().forEach(x -> x.faults.reportLate = Duration.ZERO);
+      case "reports wrong" -> e.faults.reportWrong = 0;
+      case "list lost" -> fleet.list.losing = false;
+      case "list old" -> fleet.list.old = false;
+      case "retries at once" -> impatient--;
+      case "hang-ups" -> leaving--;
       default -> { }
     }
   }
--- a/src/main/java/gapproxy/standin/Engine.java
+++ b/src/main/java/gapproxy/standin/Engine.java
@@ -354,7 +354,12 @@
       }
       told = reports.peek().at.compareTo(then) > 0 ? reports.peek().text : told;
     }
-    return told;
+    return switch (faults.reportWrong) {
+      case 1 -> "";
+      case 2 -> told.replaceAll(" [0-9.]+\\n", " NaN\n");
+      case 3 -> told.replaceAll(" [0-9.]+\\n", " -9e99\n");
+      default -> told;
+    };
   }
 
   private void chat(Exchange x, ChatRequest chat, boolean deaf) {
--- a/src/main/java/gapproxy/standin/Faults.java
+++ b/src/main/java/gapproxy/standin/Faults.java
@@ -20,6 +20,8 @@
   public Duration lag = Duration.ZERO;
   /** Load is reported as it was so long ago. */
   public Duration reportLate = Duration.ZERO;
+  /** Load is reported in a form or with figures that make no sense: 0 it is right, 1 empty, 2 no numbers, 3 absurd ones. */
+  public int reportWrong;
   /** Gateways from which nothing comes through: requests are taken and stay unanswered. */
   public java.util.Set<String> cutOff = java.util.Set.of();
   /** States come over the wire so many times slower. */
--- a/src/main/java/gapproxy/standin/ListService.java
+++ b/src/main/java/gapproxy/standin/ListService.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -22,6 +23,7 @@
   private final Traffic traffic;
   private final String epoch;
   private final TreeMap<Long, ServerList.Entry> servers = new TreeMap<>();
+  private final ArrayDeque<ServerList.Entry> coming = new ArrayDeque<>();
   private final List<Runnable> waiting = new ArrayList<>();
   private final Map<Long, Duration> late = new HashMap<>();
   private HttpServer server;
@@ -29,6 +31,11 @@
   private final Map<String, Long> given = new HashMap<>();
   public Duration lateness = Duration.ZERO;
   public boolean failing;
+  /** Answers are lost on their way. */
+  public boolean losing;
+  /** What is given is the list as it was one change ago. */
+  public boolean old;
+  private ServerList before;
 
   public ListService(Loop loop, Traffic traffic, String epoch) {
     this.loop = loop;
@@ -59,8 +66,11 @@
     Duration last = late.getOrDefault(0L, Duration.ZERO);
     Duration at = due.compareTo(last) > 0 ? due : last;
     late.put(0L, at);
+    coming.add(e);
     loop.after(at.minus(loop.now()), () -> {
-      servers.put(e.id(), e);
+      ServerList.Entry next = coming.poll();                  // in the order said, also within one instant
+      before = now();
+      servers.put(next.id(), next);
       index++;
       List<Runnable> now = List.copyOf(waiting);
       waiting.clear();
@@ -92,16 +102,29 @@
     return s == null || !s.matches("\\d{1,12}") ? 0 : Long.parseLong(s);
   }
 
+  private ServerList now() {
+    return new ServerList(epoch, index, true, servers.values().stream().filter(e -> e.state() != ServerList.State.GONE).toList());
+  }
+
   private void give(Exchange x) {
     if (!x.open()) {
       return;
     }
+    if (losing) {
+      return;
+    }
     String gateway = String.valueOf(x.request.header("x-gapproxy-gateway"));
+    if (old && before != null) {
+      if (before.index() >= given.getOrDefault(gateway, 0L)) {
+        given.put(gateway, before.index());
+        before.servers().forEach(e -> traffic.told(loop.now(), gateway, e.id(), e.state() == ServerList.State.READY));
+      }
+      x.respond(200, Map.of("content-type", "application/json"), before.bytes());
+      return;
+    }
     given.put(gateway, index);
     servers.values().forEach(e ->
         traffic.told(loop.now(), gateway, e.id(), e.state() == ServerList.State.READY));
-    List<ServerList.Entry> listed =
-        servers.values().stream().filter(e -> e.state() != ServerList.State.GONE).toList();
-    x.respond(200, Map.of("content-type", "application/json"), new ServerList(epoch, index, true, listed).bytes());
+    x.respond(200, Map.of("content-type", "application/json"), now().bytes());
   }
 }
