--- a/src/main/java/gapproxy/cli/SimCommand.java
+++ b/src/main/java/gapproxy/cli/SimCommand.java
@@ -1,28 +1,34 @@
 package gapproxy.cli;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gapproxy.config.Config;
 import gapproxy.config.ConfigErrors;
 import gapproxy.daemon.Logs;
+import gapproxy.sim.Coverage;
+import gapproxy.sim.Picture;
 import gapproxy.sim.Plan;
 import gapproxy.sim.Shrinker;
 import gapproxy.sim.World;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ForkJoinPool;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongConsumer;
 import java.util.stream.LongStream;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
 @Command(name = "sim", description = "Runs the gateway's own classes on virtual time against faults drawn from seeds.",
-    subcommands = {SimCommand.Run.class, SimCommand.Replay.class, SimCommand.Shrink.class, SimCommand.Sweep.class})
+    subcommands = {SimCommand.Run.class, SimCommand.Replay.class, SimCommand.Shrink.class, SimCommand.Trace.class,
+        SimCommand.Sweep.class, SimCommand.Cover.class})
 final class SimCommand {
   @Command(name = "run", description = "Runs one seed; exit code 0 only where all held.")
   static final class Run implements Callable<Integer> {
@@ -84,25 +90,70 @@
     }
   }
 
-  @Command(name = "sweep", description = "Runs many seeds and ends with one line of JSON; exit code 0 only where every seed held.")
-  static final class Sweep implements Callable<Integer> {
-    @CommandLine.Spec
+  @Command(name = "trace", description = "Prints what each part of a seed's run saw, in order; exit code 0 only where all held.")
+  static final class Trace implements Callable<Integer> {
+    @CommandLine.Parameters(paramLabel = "SEED")
+    private long seed;
+    @Option(names = "--html", paramLabel = "FILE", description = "Draws it there too, as a sequence diagram on a page of its own.")
+    private Path html;
+
+    @Override
+    public Integer call() {
+      Logs.use(new Config.Log("text", "error"));
+      World.Verdict v = new World(seed, true).run();
+      if (html != null) {
+        try {
+          Files.writeString(html, Picture.of(v));
+        } catch (IOException e) {
+          throw new Main.Failure(html + ": can't be written");
+        }
+      }
+      return tell(v);
+    }
+  }
+
+  /** First and last seed of A..B, and how many run at once. */
+  private static final class Range {
+    @CommandLine.Spec(CommandLine.Spec.Target.MIXEE)
     private CommandLine.Model.CommandSpec spec;
     @Option(names = "--seeds", required = true, paramLabel = "A..B", description = "First and last seed.")
     private String seeds;
     @Option(names = "--jobs", description = "Seeds at once (default: one a processor).")
     private int jobs = Runtime.getRuntime().availableProcessors();
 
-    @Override
-    public Integer call() throws Exception {
+    LongStream all() {
       String[] ends = seeds.split("\\.\\.", -1);
       if (ends.length != 2 || !ends[0].matches("\\d{1,18}") || !ends[1].matches("\\d{1,18}")
           || Long.parseLong(ends[0]) > Long.parseLong(ends[1]) || jobs < 1 || jobs > 1024) {
         throw new CommandLine.ParameterException(spec.commandLine(), "--seeds: A..B with A up to B; --jobs: 1 to 1024");
       }
+      return LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[1]));
+    }
+
+    void run(LongStream seeds, LongConsumer each) throws Exception {
+      ForkJoinPool pool = new ForkJoinPool(jobs);
+      try {
+        pool.submit(() -> seeds.parallel().forEach(each)).get();
+      } finally {
+        pool.shutdownNow();
+      }
+    }
+  }
+
+  private static String version() {
+    return new Main.Version().getVersion()[0];
+  }
+
+  @Command(name = "sweep", description = "Runs many seeds and ends with one line of JSON; exit code 0 only where every seed held.")
+  static final class Sweep implements Callable<Integer> {
+    @CommandLine.Mixin
+    private Range range;
+
+    @Override
+    public Integer call() throws Exception {
+      LongStream all = range.all();
+      long count = range.all().count();
       Logs.use(new Config.Log("text", "error"));
-      long first = Long.parseLong(ends[0]);
-      long last = Long.parseLong(ends[1]);
       long begun = System.nanoTime();
       AtomicLong steps = new AtomicLong();
       AtomicLong millis = new AtomicLong();
@@ -111,36 +162,31 @@
       AtomicLong traces = new AtomicLong();
       AtomicLong done = new AtomicLong();
       Map<String, Long> kinds = new TreeMap<>();
-      ForkJoinPool pool = new ForkJoinPool(jobs);
-      try {
-        pool.submit(() -> LongStream.rangeClosed(first, last).parallel().forEach(seed -> {
-          World.Verdict v;
-          try {
-            v = new World(seed, false).run();
-          } catch (RuntimeException e) {
-            broken.incrementAndGet();
-            System.err.println("seed " + seed + ": " + e + "; repeat with: sim run --seed " + seed);
-            return;
-          }
-          steps.addAndGet(v.steps());
-          millis.addAndGet(v.span().toMillis());
-          traces.addAndGet(v.trace() * (seed + 1));
-          faults.addAndGet(v.faults().values().stream().mapToInt(i -> i).sum());
-          synchronized (kinds) {
-            v.ends().forEach((k, n) -> kinds.merge(k, n, Long::sum));
-          }
-          if (!v.held()) {
-            broken.incrementAndGet();
-            System.err.println("seed " + seed + ": " + v.found().get(0) + "; repeat with: sim run --seed " + seed + " --trace");
-          }
-          if (done.incrementAndGet() % 1000 == 0) {
-            System.err.println(done.get() + " of " + (last - first + 1) + " seeds");
-          }
-        })).get();
-      } finally {
-        pool.shutdownNow();
-      }
-      ObjectNode n = new ObjectMapper().createObjectNode().put("seeds", last - first + 1).put("violations", broken.get())
+      range.run(all, seed -> {
+        World.Verdict v;
+        try {
+          v = new World(seed, false).run();
+        } catch (RuntimeException e) {
+          broken.incrementAndGet();
+          System.err.println("seed " + seed + ": " + e + "; repeat with: sim run --seed " + seed);
+          return;
+        }
+        steps.addAndGet(v.steps());
+        millis.addAndGet(v.span().toMillis());
+        traces.addAndGet(v.trace() * (seed + 1));
+        faults.addAndGet(v.faults().values().stream().mapToInt(i -> i).sum());
+        synchronized (kinds) {
+          v.ends().forEach((k, n) -> kinds.merge(k, n, Long::sum));
+        }
+        if (!v.held()) {
+          broken.incrementAndGet();
+          System.err.println("seed " + seed + ": " + v.found().get(0) + "; version " + version() + ", repeat with: sim trace " + seed);
+        }
+        if (done.incrementAndGet() % 1000 == 0) {
+          System.err.println(done.get() + " of " + count + " seeds");
+        }
+      });
+      ObjectNode n = new ObjectMapper().createObjectNode().put("version", version()).put("seeds", count).put("violations", broken.get())
           .put("steps", steps.get()).put("faults", faults.get()).put("seconds", (System.nanoTime() - begun) / 1e9)
           .put("simulated_seconds", millis.get() / 1000.0).put("trace", Long.toHexString(traces.get()));
       n.putPOJO("ends", kinds);
@@ -148,4 +194,45 @@
       return broken.get() == 0 ? 0 : 1;
     }
   }
+
+  @Command(name = "cover", description = "Runs seeds, aims further plans at what they did not reach, and prints what was reached as JSON; "
+      + "exit code 0 only where all held.")
+  static final class Cover implements Callable<Integer> {
+    private static final int TRIES = 20;
+    @CommandLine.Mixin
+    private Range range;
+
+    @Override
+    public Integer call() throws Exception {
+      LongStream all = range.all();
+      Logs.use(new Config.Log("text", "error"));
+      Coverage coverage = new Coverage();
+      AtomicLong broken = new AtomicLong();
+      range.run(all, seed -> broken.addAndGet(judge(Plan.of(seed), coverage)));
+      List<Coverage.Gap> gaps = coverage.gaps();
+      int missedBefore = coverage.missed().size();
+      range.run(LongStream.range(0, gaps.size()), i -> {
+        Coverage.Gap g = gaps.get((int) i);
+        for (int seed = 0; seed < TRIES; seed++) {
+          broken.addAndGet(judge(Plan.aimed(seed, g.kind(), g.stage()), coverage));
+        }
+      });
+      ObjectMapper json = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+      ObjectNode n = json.createObjectNode().put("version", version()).put("violations", broken.get())
+          .put("pairs_of_fault_and_stage", coverage.pairs()).put("not_reached_by_seeds", gaps.size())
+          .put("not_reached_when_aimed_at", coverage.gaps().size()).put("events_missed_by_seeds", missedBefore);
+      n.putPOJO("events_missed", coverage.missed()).putPOJO("faults_missed", coverage.gaps()).putPOJO("reached", coverage.reached());
+      System.out.println(json.writeValueAsString(n));
+      return broken.get() == 0 ? 0 : 1;
+    }
+
+    private static int judge(Plan p, Coverage coverage) {
+      World.Verdict v = new World(p, false).run();
+      coverage.add(v.coverage());
+      if (!v.held()) {
+        System.err.println(v.found().get(0) + "; repeat with sim replay of\n" + p.json());
+      }
+      return v.held() ? 0 : 1;
+    }
+  }
 }
--- /dev/null
+++ b/src/main/java/gapproxy/sim/Coverage.java
@@ -0,0 +1,65 @@
+package gapproxy.sim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What runs have reached: events by the stage at which they came, answers by the stage at which they were given, faults by the stages
+ * at which reqs stood as they struck. Pairs of fault and stage that were not reached can be aimed at.
+ */
+public final class Coverage {
+  /** Without HELD: the write is decided in the turn in which the read has ended, so nothing can strike between. */
+  static final List<String> STAGES = List.of("WAITING", "READING", "WRITING", "STREAMING");
+  /** What can come at each stage at all; the table of the reqs' states, read from the outside. */
+  static final Map<String, List<String>> CAN_COME = Map.of(
+      "WAITING", List.of("answer pushed_back", "answer aborted", "answer hung_up"),
+      "READING", List.of("read ended read", "read ended error", "read ended broken", "read ended no_connection", "read ended timed_out",
+          "read ended full", "answer hung_up"),
+      "HELD", List.of("answer pushed_back"),
+      "WRITING", List.of("first token", "write ended error", "write ended broken", "write ended no_connection", "write ended timed_out",
+          "write ended full", "local ended error", "local ended broken", "local ended no_connection", "local ended timed_out",
+          "local ended full", "answer hung_up"),
+      "STREAMING", List.of("answer done", "answer aborted", "answer hung_up"),
+      "ANSWERED", List.of("read ended cancelled", "write ended cancelled", "local ended cancelled", "write ended done", "local ended done",
+          "local ended not_sent"));
+
+  private final TreeMap<String, Long> seen = new TreeMap<>();
+
+  /** A fault and a stage that no run has brought together. */
+  public record Gap(String kind, String stage) {}
+
+  public synchronized void add(Map<String, Long> more) {
+    more.forEach((pair, n) -> seen.merge(pair, n, Long::sum));
+  }
+
+  /** Pairs of fault and stage not reached yet, always in the same order. */
+  public List<Gap> gaps() {
+    List<Gap> all = new ArrayList<>();
+    Plan.KINDS.forEach(k -> STAGES.forEach(s -> {
+      if (!seen.containsKey(s + " / " + k)) {
+        all.add(new Gap(k, s));
+      }
+    }));
+    return all;
+  }
+
+  /** Pairs of stage and event that can be and were not reached. */
+  public List<String> missed() {
+    List<String> all = new ArrayList<>();
+    new TreeMap<>(CAN_COME).forEach((stage, events) -> events.stream().map(e -> stage + " / " + e).filter(p -> !seen.containsKey(p))
+        .forEach(all::add));
+    return all;
+  }
+
+  /** How often each pair was reached. */
+  public Map<String, Long> reached() {
+    return new LinkedHashMap<>(seen);
+  }
+
+  public int pairs() {
+    return Plan.KINDS.size() * STAGES.size();
+  }
+}
--- a/src/main/java/gapproxy/sim/Plan.java
+++ b/src/main/java/gapproxy/sim/Plan.java
@@ -33,7 +33,7 @@
       "resets", "slow handshake", "engine drains", "texts forgotten", "states lost", "site cut", "list late", "list fails",
       "gateway dies", "gateway stands still", "slow network", "burst",
       "one-way cut", "connects hang", "narrow network", "clock jumps", "reports late", "reports wrong", "list lost", "list old",
-      "drains in waves", "torn list", "retries at once", "hang-ups");
+      "drains in waves", "torn list", "retries at once", "hang-ups", "memory full");
   private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
 
   /** The plan of a seed: up to four faults that may overlap. */
--- a/src/main/java/gapproxy/sim/World.java
+++ b/src/main/java/gapproxy/sim/World.java
@@ -36,7 +36,7 @@
 
   /** What a seed showed; {@code found} is empty where all held. */
   public record Verdict(long seed, List<String> found, long steps, Duration span, long taken, Map<String, Long> ends,
-      Map<String, Integer> faults, Map<String, Long> coverage, long bytes, long trace, List<String> timeline) {
+      Map<String, Integer> faults, Map<String, Long> coverage, long bytes, long trace, List<Sequence.Step> timeline) {
     public boolean held() {
       return found.isEmpty();
     }
@@ -64,7 +64,8 @@
   private final List<Slot> slots = new ArrayList<>();
   private final Map<String, Integer> faults = new TreeMap<>();
   private final List<String> found = new ArrayList<>();
-  private final List<String> timeline;
+  private final Sequence sequence;                            // or null
+  private final Traffic traffic;
   private Fleet fleet;
   private ChatClient clients;
   private final List<Plan.Fault> armed = new ArrayList<>();   // that wait for a stage
@@ -86,12 +87,13 @@
     scheduler = new Scheduler(plan.shuffle() ? all.split() : null);
     net = new SimNet(scheduler, all.split(), plan.bytes());
     loop = new SimLoop(scheduler);
-    timeline = told ? new ArrayList<>() : null;
+    sequence = told ? new Sequence(scheduler::now) : null;
+    traffic = told ? sequence.over(audit) : audit;
   }
 
-  private void tell(String what) {
-    if (timeline != null) {
-      timeline.add("%9.3f ms  %s".formatted(scheduler.now().toNanos() / 1e6, what));
+  private void tell(String at, String what) {
+    if (sequence != null) {
+      sequence.note(at, what);
     }
   }
 
@@ -114,7 +116,7 @@
     }
     Audit.Report r = audit.finish(loop.now());
     return new Verdict(plan.seed(), List.copyOf(found), scheduler.done(), scheduler.now(), r.taken(), r.ends(), faults, coverage, net.bytes,
-        net.trace(), timeline == null ? List.of() : timeline);
+        net.trace(), sequence == null ? List.of() : sequence.steps());
   }
 
   private void leftBehind() {
@@ -144,9 +146,9 @@
 
   private void begin() throws IOException {
     rate = plan.rate();
-    fleet = new Fleet(new Fleet.Size(plan.zones(), 1, plan.readers(), plan.writers(), plan.pace()), loop, net.host("world", loop), audit,
+    fleet = new Fleet(new Fleet.Size(plan.zones(), 1, plan.readers(), plan.writers(), plan.pace()), loop, net.host("world", loop), traffic,
         chance.nextLong(), "sim");
-    clients = new ChatClient(loop, new HttpClient(loop, net.host("clients", loop), Duration.ofSeconds(5)), audit);
+    clients = new ChatClient(loop, new HttpClient(loop, net.host("clients", loop), Duration.ofSeconds(5)), traffic);
     for (int i = 0; i < plan.gateways(); i++) {
       Slot s = new Slot("g" + i);
       s.at = new InetSocketAddress("127.0.0.1", 8_000 + i);
@@ -177,7 +179,7 @@
   }
 
   private void up(Slot s) throws IOException {
-    audit.gateway(loop.now(), s.name, true);
+    traffic.gateway(loop.now(), s.name, true);
     s.loop = new SimLoop(scheduler);
     s.host = (SimNet.Host) net.host(s.name, s.loop);
     int zone = Integer.parseInt(s.name.substring(1)) % plan.zones();
@@ -186,7 +188,6 @@
     s.gateway = new Gateway(c, s.loop, s.host, disk, chance.nextLong());
     s.gateway.watch((stage, event) -> coverage.merge(stage + " / " + event, 1L, Long::sum));
     s.gateway.start();
-    tell(s.name + " is up");
   }
 
   private Config config(Slot s, int zone, int zones, int gateways) {
@@ -251,7 +252,7 @@
         loop.after(back, () -> send(again, s, false, null));
       }
       doneLate += late && o.how() == Traffic.Answer.DONE ? 1 : 0;
-      tell(a.req() + " (" + a.repeat() + ", " + s.name + "): " + (o.how() == null ? "left" : o.how()) + ", tries " + o.tries());
+      tell(Sequence.CLIENTS, a.req() + " (" + a.repeat() + ", " + s.name + "): " + (o.how() == null ? "left" : o.how()) + ", tries " + o.tries());
     });
   }
 
@@ -281,7 +282,7 @@
     Engine e = all.get(f.which() % all.size());
     Slot slot = slots.get(f.which() % slots.size());
     stages().forEach(s -> coverage.merge(s + " / " + kind, 1L, Long::sum));
-    tell(kind + " for " + lasts.toMillis() + " ms (engine " + e.spec.id() + ", " + slot.name + ")");
+    tell(Sequence.WORLD, kind + " for " + lasts.toMillis() + " ms (engine " + e.spec.id() + ", " + slot.name + ")");
     switch (kind) {
       case "engine dies" -> fleet.restart(e, lasts);
       case "engine silent" -> {
@@ -339,6 +340,8 @@
       }
       case "retries at once" -> impatient++;
       case "hang-ups" -> leaving++;
+      case "memory full" -> all.stream().filter(x -> x.spec.role().equals(e.spec.role()))
+          .forEach(x -> x.faults.memoryTaken = 0.99 + 0.01 * f.amount());
       default -> throw new IllegalStateException(kind);
     }
     loop.after(lasts, () -> heal(f, e, slot));
@@ -385,6 +388,7 @@
       case "list old" -> fleet.list.old = false;
       case "retries at once" -> impatient--;
       case "hang-ups" -> leaving--;
+      case "memory full" -> fleet.engines().forEach(x -> x.faults.memoryTaken = 0);
       default -> { }
     }
   }
@@ -393,7 +397,7 @@
     if (s.gateway == null) {
       return;
     }
-    audit.gateway(loop.now(), s.name, false);
+    traffic.gateway(loop.now(), s.name, false);
     s.loop.kill();
     s.host.die();
     s.gateway = null;
--- a/src/main/java/gapproxy/standin/Engine.java
+++ b/src/main/java/gapproxy/standin/Engine.java
@@ -312,7 +312,7 @@
         error(x, ApiError.invalid("invalid_json", null, "the body is not valid JSON"));
         return;
       }
-      boolean room = waiting.isEmpty() && running.size() + places.size() < spec.slots && used + tokens <= spec.memory;
+      boolean room = waiting.isEmpty() && running.size() + places.size() < spec.slots && used + tokens <= memory();
       if (room) {
         places.put(id, tokens);
         used += tokens;
@@ -334,6 +334,10 @@
     return tokens != null;
   }
 
+  private double memory() {
+    return Math.max(1, spec.memory * (1 - faults.memoryTaken));
+  }
+
   private String metrics() {
     reports.add(new Reported(loop.now(), """
         # TYPE vllm:num_requests_running gauge
@@ -342,7 +346,7 @@
         vllm:num_requests_waiting{model_name="standin"} %d
         # TYPE vllm:kv_cache_usage_perc gauge
         vllm:kv_cache_usage_perc{model_name="standin"} %.4f
-        """.formatted(running.size(), waiting.size(), (double) used / spec.memory)));
+        """.formatted(running.size(), waiting.size(), (double) used / memory())));
     if (reports.size() > LAG) {
       reports.poll();
     }
@@ -410,7 +414,7 @@
     while (!waiting.isEmpty() && running.size() < spec.slots) {
       Job j = waiting.peek();
       int needs = j.prompt + (j.reads ? 0 : Math.min(j.answer, 200));
-      if (used + needs > spec.memory && !running.isEmpty()) {
+      if (used + needs > memory() && !running.isEmpty()) {
         return;
       }
       waiting.poll();
--- a/src/main/java/gapproxy/standin/Faults.java
+++ b/src/main/java/gapproxy/standin/Faults.java
@@ -20,6 +20,8 @@
   public Duration lag = Duration.ZERO;
   /** Load is reported as it was so long ago. */
   public Duration reportLate = Duration.ZERO;
+  /** This part of its memory is taken by others. */
+  public double memoryTaken;
   /** Load is reported in a form or with figures that make no sense: 0 it is right, 1 empty, 2 no numbers, 3 absurd ones. */
   public int reportWrong;
   /** Gateways from which nothing comes through: requests are taken and stay unanswered. */
--- /dev/null
+++ b/src/test/java/gapproxy/gateway/StartTimesTest.java
@@ -0,0 +1,73 @@
+package gapproxy.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import gapproxy.api.Event;
+import gapproxy.config.Config;
+import gapproxy.config.ConfigReader;
+import gapproxy.list.ServerList;
+import gapproxy.runtime.Loop;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+
+/** Start times of servers when the wall clock is set. */
+class StartTimesTest {
+  private static final Instant EPOCH = Instant.parse("2026-01-01T00:00:00Z");
+  private Duration now = Duration.ofSeconds(100);
+  private Duration off = Duration.ZERO;
+
+  private final Loop loop = new Loop() {
+    @Override
+    public Duration now() {
+      return now;
+    }
+
+    @Override
+    public Instant wall() {
+      return EPOCH.plus(now).plus(off);
+    }
+
+    @Override
+    public void execute(Runnable work) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Timer after(Duration span, Runnable work) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void whenIdle(Runnable work) {
+      throw new UnsupportedOperationException();
+    }
+  };
+
+  private Duration up(Fleet f, long index, Instant since) throws Exception {
+    String servers = since == null ? "" : "{\"id\": 1, \"address\": \"h:9\", \"kind\": \"w\", \"up_since_ms\": " + since.toEpochMilli() + "}";
+    Event.ServerList l = f.take(ServerList.parse(("{\"epoch\": \"e\", \"index\": " + index + ", \"servers\": [" + servers + "]}")
+        .getBytes(StandardCharsets.UTF_8)), false);
+    return l.lines().isEmpty() ? null : l.lines().get(0).upSince();
+  }
+
+  @Test
+  void aStartStaysWhereItWasAndAClockAheadMakesNoServerWarm() throws Exception {
+    Config c = ConfigReader.parse("""
+        {"name": "g", "groups": [{"name": "m", "models": ["m"]}], "kinds": [{"name": "w", "role": "write", "memory_tokens": 1000}],
+         "list": {"file": "x"}}
+        """, "test");
+    Fleet f = new Fleet(c, loop, a -> { });
+    Instant first = EPOCH.plusSeconds(40);
+    assertEquals(Duration.ofSeconds(40), up(f, 1, first));
+    now = Duration.ofSeconds(200);
+    off = Duration.ofMinutes(5);                              // set ahead: the same start is no new one
+    assertEquals(Duration.ofSeconds(40), up(f, 2, first));
+    now = Duration.ofSeconds(230);
+    Instant again = EPOCH.plusSeconds(228);                   // truly 2 s ago, by the wrong clock 302 s
+    assertEquals(Duration.ofSeconds(200), up(f, 3, again), "not before the list that did not have it");
+    off = Duration.ZERO;
+    assertEquals(Duration.ofSeconds(200), up(f, 4, again));
+  }
+}
--- a/src/test/java/gapproxy/sim/SimTest.java
+++ b/src/test/java/gapproxy/sim/SimTest.java
@@ -79,6 +79,31 @@
     }
   }
 
+  @Test
+  void whatRunsReachIsCountedAndWhatTheyMissCanBeAimedAt() {
+    Coverage c = new Coverage();
+    LongStream.rangeClosed(1, 20).forEach(seed -> c.add(new World(seed, false).run().coverage()));
+    List<Coverage.Gap> gaps = c.gaps();
+    assertTrue(gaps.size() > 40 && gaps.size() < c.pairs(), gaps.size() + " of " + c.pairs());
+    Coverage.Gap g = gaps.stream().filter(x -> x.stage().equals("STREAMING")).findFirst().orElseThrow();
+    for (int seed = 0; seed < 20 && c.gaps().contains(g); seed++) {
+      World.Verdict v = new World(Plan.aimed(seed, g.kind(), g.stage()), false).run();
+      assertEquals(List.of(), v.found());
+      c.add(v.coverage());
+    }
+    assertTrue(!c.gaps().contains(g), g.toString());
+  }
+
+  @Test
+  void aRunIsTracedAndDrawn() {
+    World.Verdict v = new World(7, true).run();
+    assertEquals(new World(7, false).run().trace(), v.trace()); // looking on changes nothing
+    assertTrue(v.timeline().stream().anyMatch(s -> s.from().equals(Sequence.CLIENTS) && s.what().contains("asked")));
+    String page = Picture.of(v);
+    assertTrue(page.startsWith("<!DOCTYPE html>") && page.contains("<svg") && page.contains("r0#0 first token"), page.substring(0, 200));
+    assertTrue(!page.contains("src=") && !page.contains("href="), "the page loads something");
+  }
+
   /** In CI two of the mutants; the whole list by {@code mvn -B verify -Pmutants}. */
   @Test
   void plantedFaultsAreFound() {
