Plans played over sockets agree with the simulation; a forward for a forgotten req is counted

Need: nothing showed that simulated answers are those of the live gateway, and one planted fault was not found.

A forward for a req that the gateway has forgotten is logged and counted, the checker takes it as a mishap, and short faults are drawn more often.

--- a/src/main/java/gapproxy/cli/DayCommand.java
+++ b/src/main/java/gapproxy/cli/DayCommand.java
@@ -8,8 +8,15 @@
 import gapproxy.daemon.Logs;
 import gapproxy.day.Day;
 import gapproxy.day.Script;
+import gapproxy.day.Sockets;
+import gapproxy.sim.Plan;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.stream.Stream;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -35,8 +42,37 @@
   @Option(names = "--in-process", description = "Gateways in this process in place of processes of their own.")
   private boolean inside;
 
+  @Option(names = "--plan", paramLabel = "FILE", split = ",", description = {"Plays plans of the simulation (sim replay) over sockets too, and compares",
+      "what each req got; exit code 0 only where all agree."})
+  private List<Path> plans = List.of();
+
+  private int compare() throws IOException {
+    Logs.use(new Config.Log("text", "error"));
+    int differ = 0;
+    for (Path file : plans) {
+      Path dir = Files.createTempDirectory("gapproxy-plan");
+      try {
+        Sockets.Compared c = Sockets.compare(Plan.parse(Files.readString(file), file.toString()), dir);
+        differ += c.differ().size();
+        System.out.printf("%s: of %d reqs %d agree, %d differ, %d were left by their client on one ground only%n", file.getFileName(),
+            c.reqs(), c.reqs() - c.differ().size() - c.left(), c.differ().size(), c.left());
+        c.differ().forEach(d -> System.out.println("  " + d));
+      } catch (ConfigErrors | IllegalArgumentException e) {
+        throw new Main.Failure(file + ": " + e.getMessage());
+      } finally {
+        try (Stream<Path> left = Files.walk(dir)) {
+          left.sorted(Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
+        }
+      }
+    }
+    return differ == 0 ? 0 : 1;
+  }
+
   @Override
   public Integer call() throws IOException {
+    if (!plans.isEmpty()) {
+      return compare();
+    }
     if (list) {
       Script.names().forEach(System.out::println);
       return 0;
--- a/src/main/java/gapproxy/daemon/Node.java
+++ b/src/main/java/gapproxy/daemon/Node.java
@@ -21,11 +21,12 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private volatile InetSocketAddress address;
 
-  private Node(Config config) throws IOException {
+  private Node(Config config, Long seed) throws IOException {
     this.config = config;
     loop = new LiveLoop(config.name());
     net = new LiveNet(config.name() + "-net", Math.max(2, Runtime.getRuntime().availableProcessors() / 2));
-    gateway = new Gateway(config, loop, net, disk, loop.wall().toEpochMilli() * 31 + config.name().hashCode());
+    gateway = new Gateway(config, loop, net, disk, seed != null ? seed
+        : loop.wall().toEpochMilli() * 31 + config.name().hashCode());
   }
 
   /**
@@ -34,8 +35,13 @@
    * @throws IOException if its port can't be bound
    */
   public static Node start(Config config) throws IOException {
+    return start(config, null);
+  }
+
+  /** @param seed of the decisions' chance, or null for another one at each start */
+  public static Node start(Config config, Long seed) throws IOException {
     warmUp();
-    Node n = new Node(config);
+    Node n = new Node(config, seed);
     IOException[] failed = new IOException[1];
     n.loop.call(() -> {
       try {
--- /dev/null
+++ b/src/main/java/gapproxy/day/Sockets.java
@@ -0,0 +1,196 @@
+package gapproxy.day;
+
+import gapproxy.config.Config;
+import gapproxy.daemon.Node;
+import gapproxy.runtime.LiveLoop;
+import gapproxy.runtime.LiveNet;
+import gapproxy.runtime.Loop;
+import gapproxy.runtime.Net;
+import gapproxy.sim.Ground;
+import gapproxy.sim.Plan;
+import gapproxy.sim.Scene;
+import gapproxy.sim.World;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+/** Plays a plan of the simulation over sockets in real time, to compare what each req got in the end. */
+public final class Sockets implements Ground, AutoCloseable {
+  /** Faults that only a simulated network, clock or process can have. */
+  private static final Set<String> NOT_HERE = Set.of("gateway stands still", "clock jumps", "torn list", "slow network", "narrow network",
+      "connects hang", "one-way cut");
+  private static final Duration LIMIT = Duration.ofSeconds(60), LOOK = Duration.ofMillis(50);
+
+  /**
+   * One plan on both grounds.
+   *
+   * @param left   reqs whose client left on one ground a moment before the answer was whole and on the other after: they are owed none
+   * @param differ what got another answer, with both
+   */
+  public record Compared(int reqs, int left, List<String> differ) {}
+
+  private final LiveLoop loop = new LiveLoop("sockets");
+  private final LiveNet net;
+  private final Path dir;
+
+  private Sockets(Path dir) throws IOException {
+    this.dir = dir;
+    net = new LiveNet("sockets-net", 2);
+  }
+
+  /**
+   * Plays a plan on virtual time and over sockets.
+   *
+   * @param dir for what gateways remember
+   * @throws IllegalArgumentException if the plan holds a fault that sockets can't have
+   */
+  public static Compared compare(Plan plan, Path dir) throws IOException {
+    Map<String, String> simulated = new World(plan, false).run().answers();
+    try (Sockets ground = new Sockets(dir)) {
+      Map<String, String> live = ground.play(plan);
+      TreeMap<String, String> all = new TreeMap<>(simulated);
+      live.forEach(all::putIfAbsent);
+      List<String> differ = new ArrayList<>();
+      int left = 0;
+      for (String r : all.keySet()) {
+        String a = simulated.getOrDefault(r, "not asked");
+        String b = live.getOrDefault(r, "not asked");
+        if (!a.equals(b) && (a.equals("left") || b.equals("left"))) {
+          left++;
+        } else if (!a.equals(b)) {
+          differ.add(r + ": simulated " + a + ", over sockets " + b);
+        }
+      }
+      return new Compared(all.size(), left, differ);
+    }
+  }
+
+  private Map<String, String> play(Plan plan) throws IOException {
+    Scene scene = Scene.on(this, plan);
+    IOException[] failed = new IOException[1];
+    CountDownLatch over = new CountDownLatch(1);
+    loop.call(() -> {
+      try {
+        scene.begin();
+        look(scene, over);
+      } catch (IOException e) {
+        failed[0] = e;
+      }
+    });
+    if (failed[0] != null) {
+      throw failed[0];
+    }
+    try {
+      over.await(LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    List<World.Verdict> verdict = new ArrayList<>();
+    loop.call(() -> {
+      verdict.add(scene.verdict(0, 0, 0));
+      scene.close();
+    });
+    return verdict.get(0).answers();
+  }
+
+  private void look(Scene scene, CountDownLatch over) {
+    if (scene.ended()) {
+      over.countDown();
+    } else {
+      loop.after(LOOK, () -> look(scene, over));
+    }
+  }
+
+  @Override
+  public Loop loop() {
+    return loop;
+  }
+
+  @Override
+  public Net net(String process) {
+    return net;
+  }
+
+  @Override
+  public int port(int gateway) {
+    return 0;
+  }
+
+  @Override
+  public boolean plays(String kind) {
+    return !NOT_HERE.contains(kind);
+  }
+
+  @Override
+  public Path stateDir() {
+    return dir;
+  }
+
+  @Override
+  public Running start(Config config, long seed, BiConsumer<String, String> watcher) throws IOException {
+    Node n = Node.start(config, seed);
+    return new Running() {
+      @Override
+      public InetSocketAddress address() {
+        return n.address();
+      }
+
+      @Override
+      public int open() {
+        int[] open = new int[1];
+        n.loop().call(() -> open[0] = n.gateway().open());
+        return open[0];
+      }
+
+      @Override
+      public long mishaps() {
+        return n.gateway().counts().overdue + n.gateway().counts().strays;
+      }
+
+      @Override
+      public Set<String> stages() {
+        return Set.of();
+      }
+
+      @Override
+      public void pause(Duration span) {
+        throw new UnsupportedOperationException();
+      }
+
+      @Override
+      public void jump(Duration by) {
+        throw new UnsupportedOperationException();
+      }
+
+      @Override
+      public void kill() {
+        n.close();
+      }
+    };
+  }
+
+  @Override
+  public void network(Plan.Fault f, String gateway, InetSocketAddress engine, boolean on) {
+    throw new UnsupportedOperationException(f.kind());
+  }
+
+  @Override
+  public void tear(double part) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public void close() {
+    loop.close();
+    net.close();
+  }
+}
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -87,7 +87,7 @@
 
   /** Figures since the start. */
   public static final class Counts {
-    public long taken, done, pushedBack, aborted, hungUp, clientErrors, overdue, forwards;
+    public long taken, done, pushedBack, aborted, hungUp, clientErrors, overdue, forwards, strays;
   }
 
   /** @param seed of the decisions' chance */
@@ -335,7 +335,9 @@
 
   private void forward(Action.Forward a) {
     Req r = reqs.get(a.req());
-    if (r == null) {
+    if (r == null) {                                          // would stay unanswered for the decisions: a fault of ours
+      counts.strays++;
+      LOG.atError().addKeyValue("req", a.req()).log("a forward for a req that is forgotten");
       return;
     }
     Fleet.Server s = fleet.get(a.server());
--- /dev/null
+++ b/src/main/java/gapproxy/sim/Ground.java
@@ -0,0 +1,61 @@
+package gapproxy.sim;
+
+import gapproxy.config.Config;
+import gapproxy.runtime.Loop;
+import gapproxy.runtime.Net;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+/** What a scene stands on: virtual time and a network in memory, or sockets. */
+public interface Ground {
+  /** One gateway that runs. */
+  interface Running {
+    InetSocketAddress address();
+
+    /** Reqs in hand. */
+    int open();
+
+    /** Reqs that its safety net had to abort, and forwards decided for reqs that it no longer knew. */
+    long mishaps();
+
+    /** The stages at which its reqs stand. */
+    Set<String> stages();
+
+    /** It stands still for so long, as in a long collection of garbage. */
+    void pause(Duration span);
+
+    /** Its wall clock is set ahead, or back. */
+    void jump(Duration by);
+
+    /** Ends it at once. */
+    void kill();
+  }
+
+  /** The loop of engines, list and clients. */
+  Loop loop();
+
+  /** The network as a process sees it that is no gateway. */
+  Net net(String process);
+
+  /** The port for a gateway to listen at; 0 for any. */
+  int port(int gateway);
+
+  /** Whether a kind of fault can be played here. */
+  boolean plays(String kind);
+
+  /** Where gateways remember lists. */
+  Path stateDir();
+
+  /** @param watcher told of each event and the stage at which it came */
+  Running start(Config config, long seed, BiConsumer<String, String> watcher) throws IOException;
+
+  /** A fault of the network begins or is over. */
+  void network(Plan.Fault f, String gateway, InetSocketAddress engine, boolean on);
+
+  /** Files lose a part of their bytes. */
+  void tear(double part);
+}
--- a/src/main/java/gapproxy/sim/Plan.java
+++ b/src/main/java/gapproxy/sim/Plan.java
@@ -42,7 +42,8 @@
     List<Fault> faults = new ArrayList<>();
     int n = chance.nextInt(5);
     for (int i = 0; i < n; i++) {
-      faults.add(new Fault(KINDS.get(chance.nextInt(KINDS.size())), 300 + chance.nextInt(5000), 20 + chance.nextInt(2500),
+      int most = chance.nextInt(3) == 0 ? 200 : 2500;         // what is short finds the decisions as they were before
+      faults.add(new Fault(KINDS.get(chance.nextInt(KINDS.size())), 300 + chance.nextInt(5000), 20 + chance.nextInt(most),
           chance.nextInt(1000), chance.nextDouble(), ""));
     }
     String[] bytes = {"mixed", "mixed", "mixed", "single", "together"};
--- /dev/null
+++ b/src/main/java/gapproxy/sim/Scene.java
@@ -0,0 +1,416 @@
+package gapproxy.sim;
+
+import gapproxy.audit.Audit;
+import gapproxy.audit.Traffic;
+import gapproxy.config.Config;
+import gapproxy.config.ConfigErrors;
+import gapproxy.config.ConfigReader;
+import gapproxy.http.HttpClient;
+import gapproxy.list.ServerList;
+import gapproxy.runtime.Loop;
+import gapproxy.standin.ChatClient;
+import gapproxy.standin.ChatClient.Ask;
+import gapproxy.standin.Engine;
+import gapproxy.standin.Fleet;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * What a plan asks for, on any ground: gateways, engines, list and clients, with faults at their times. Rules are judged by the traffic as it
+ * goes by, and at the end nothing may be left behind. All of it on the ground's loop.
+ */
+public final class Scene {
+  private static final Duration BUDGET = Duration.ofSeconds(3), SLACK = Duration.ofMillis(60),
+      GRACE = Duration.ofMillis(500), RELEASE = Duration.ofSeconds(1), TROUBLE = Duration.ofSeconds(5),
+      RECOVERED = Duration.ofSeconds(12), WINDOW = Duration.ofSeconds(10);
+  private static final Map<String, Config> CONFIGS = new ConcurrentHashMap<>();
+
+  private final class Slot {
+    final String name;
+    final int number;
+    InetSocketAddress at;
+    Ground.Running gateway;
+
+    Slot(int number) {
+      this.number = number;
+      name = "g" + number;
+      at = new InetSocketAddress("127.0.0.1", ground.port(number));
+    }
+  }
+
+  private final Plan plan;
+  private final SplittableRandom chance;
+  private final Ground ground;
+  private final Loop loop;
+  private final Audit audit = new Audit(new Audit.Figures(GRACE, RELEASE, WINDOW, SLACK));
+  private final List<Slot> slots = new ArrayList<>();
+  private final Map<String, Integer> faults = new TreeMap<>();
+  private final List<String> found = new ArrayList<>();
+  private final Sequence sequence;                            // or null
+  private final Traffic traffic;
+  private Fleet fleet;
+  private ChatClient clients;
+  private final List<Plan.Fault> armed = new ArrayList<>();   // that wait for a stage
+  private final Map<String, Long> coverage = new TreeMap<>();
+  private final Map<String, String> answers = new TreeMap<>(); // what each req got, by its client's mark
+  private int asks, open, doneLate, impatient, leaving;
+  private double rate;
+  private boolean ended;
+
+  /**
+   * @param chance draws the traffic
+   * @param told whether a timeline is kept
+   */
+  Scene(Plan plan, Ground ground, SplittableRandom chance, boolean told) {
+    this.plan = plan;
+    this.ground = ground;
+    this.chance = chance;
+    loop = ground.loop();
+    sequence = told ? new Sequence(loop::now) : null;
+    traffic = told ? sequence.over(audit) : audit;
+  }
+
+  /** A scene on other ground than the simulation's; its traffic is drawn as there. */
+  public static Scene on(Ground ground, Plan plan) {
+    for (Plan.Fault f : plan.faults()) {
+      if (!ground.plays(f.kind()) || !f.when().isEmpty()) {
+        throw new IllegalArgumentException("the fault \"" + f.kind() + "\" can't be played here" + (f.when().isEmpty() ? "" : " at a stage"));
+      }
+    }
+    return new Scene(plan, ground, new SplittableRandom(plan.seed()).split(), false);
+  }
+
+  private void tell(String at, String what) {
+    if (sequence != null) {
+      sequence.note(at, what);
+    }
+  }
+
+  /** To be called after each step: faults that wait for a stage strike; says whether to go on. */
+  boolean step() {
+    if (!armed.isEmpty()) {
+      fire();
+    }
+    return audit.brokenSoFar() == 0 && !ended;
+  }
+
+  /** Whether all is over. */
+  public boolean ended() {
+    return ended;
+  }
+
+  /** What was found by now. */
+  public World.Verdict verdict(long steps, long bytes, long trace) {
+    audit.finish(loop.now()).broken().forEach(b -> found.add("rule " + b.rule() + ": " + b.what()));
+    if (found.isEmpty()) {
+      leftBehind();
+    }
+    Audit.Report r = audit.finish(loop.now());
+    return new World.Verdict(plan.seed(), List.copyOf(found), steps, loop.now(), r.taken(), r.ends(), answers, faults, coverage, bytes, trace,
+        sequence == null ? List.of() : sequence.steps());
+  }
+
+  private void leftBehind() {
+    if (!ended) {
+      found.add("liveness: " + open + " reqs have no end, " + held() + " states are held, " + audit.forwardsOut()
+          + " forwards are out, lists current: " + slots.stream().filter(s -> s.gateway != null)
+              .map(s -> s.name + " " + fleet.list.current(s.name)).toList());
+    }
+    for (Slot s : slots) {
+      if (s.gateway != null && s.gateway.open() > 0) {
+        found.add("leak: " + s.name + " has " + s.gateway.open() + " reqs in hand at the end");
+      }
+      if (s.gateway != null && s.gateway.mishaps() > 0) {
+        found.add("safety net: " + s.name + " aborted reqs or lost forwards, " + s.gateway.mishaps() + " in all");
+      }
+    }
+    if (doneLate == 0) {
+      found.add("liveness: no req was served after the last fault");
+    }
+  }
+
+  private int held() {
+    return fleet.engines().stream().mapToInt(Engine::held).sum();
+  }
+
+  // ---- what there is
+
+  /** Sets it up and lets it go. */
+  public void begin() throws IOException {
+    rate = plan.rate();
+    fleet = new Fleet(new Fleet.Size(plan.zones(), 1, plan.readers(), plan.writers(), plan.pace()), loop, ground.net("world"), traffic,
+        chance.nextLong(), "sim");
+    clients = new ChatClient(loop, new HttpClient(loop, ground.net("clients"), Duration.ofSeconds(5)), traffic);
+    for (int i = 0; i < plan.gateways(); i++) {
+      Slot s = new Slot(i);
+      slots.add(s);
+      up(s);
+    }
+    Duration first = Duration.ofMillis(300);
+    loop.after(first.minus(loop.now()), () -> next(first));
+    for (Plan.Fault f : plan.faults()) {
+      loop.after(Duration.ofMillis(f.at()), () -> {
+        if (f.when().isEmpty()) {
+          fault(f);
+        } else {
+          armed.add(f);
+        }
+      });
+    }
+    loop.after(TROUBLE.plus(RECOVERED), this::settle);
+  }
+
+  private void settle() {
+    boolean still = open > 0 || held() > 0
+        || slots.stream().anyMatch(s -> s.gateway != null && s.gateway.open() > 0);
+    if (!still && audit.forwardsOut() == 0 && slots.stream().allMatch(s -> s.gateway == null || fleet.list.current(s.name))) {
+      ended = true;
+    } else {
+      loop.after(Duration.ofMillis(50), this::settle);
+    }
+  }
+
+  private void up(Slot s) throws IOException {
+    traffic.gateway(loop.now(), s.name, true);
+    int zone = s.number % plan.zones();
+    Config c = CONFIGS.computeIfAbsent(s.name + "/" + plan.zones() + "/" + plan.gateways() + "/" + ground.stateDir() + "/" + fleet.list.address().getPort(),
+        k -> config(s, zone, plan.zones(), plan.gateways()));
+    s.gateway = ground.start(c, chance.nextLong(), (stage, event) -> coverage.merge(stage + " / " + event, 1L, Long::sum));
+    s.at = s.gateway.address();
+  }
+
+  private Config config(Slot s, int zone, int zones, int gateways) {
+    String text = """
+        {"name": "%s", "listen": {"port": %d}, "zones": [%s], "zone": "zone%d", "gateways": %d, "state_dir": "%s",
+         "groups": [{"name": "draft", "models": ["draft"], "importance": 3, "response_target_ms": 1500, "deadline_ms": 3000},
+           {"name": "tweak", "models": ["tweak"], "repeat": "keyed", "window_ms": 10000, "deadline_ms": 3000},
+           {"name": "order", "models": ["order"], "repeat": "non_replayable", "deadline_ms": 3000}],
+         "kinds": [{"name": "reader", "role": "read", "memory_tokens": 250000},
+                   {"name": "writer", "role": "write", "memory_tokens": 200000}],
+         "rules": {"drain_grace_ms": 500, "release_within_ms": 1000, "cold": {"least_capacity": 0.3, "warm_within_ms": 4000,
+                   "tip_multiple": 4, "tip_span_ms": 1000}},
+         "list": {"url": "http://127.0.0.1:%d/v1/servers", "wait_ms": 1000, "ask_within_ms": 800},
+         "limits": {"token_gap_ms": 2000}}
+        """.formatted(s.name, ground.port(s.number), zones == 1 ? "\"zone0\"" : "\"zone0\", \"zone1\"", zone, gateways, ground.stateDir().toString().replace("\\", "/"),
+        fleet.list.address().getPort());
+    try {
+      return ConfigReader.parse(text, s.name);
+    } catch (ConfigErrors e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  // ---- clients
+
+  /** Arrivals count from when they were due, so that a slow timer does not put off all that follow. */
+  private void next(Duration due) {
+    Duration calm = TROUBLE.plus(RECOVERED).minus(BUDGET);
+    boolean late = due.compareTo(calm) > 0;
+    if (due.compareTo(TROUBLE.plus(RECOVERED)) > 0) {
+      return;
+    }
+    ask(late);
+    boolean quiet = due.compareTo(TROUBLE) > 0 && !late;      // nothing to be learned while all recovers
+    Duration gap = Duration.ofNanos((long) (-Math.log(1 - chance.nextDouble()) / (quiet ? 1 : rate) * 1e9));
+    Duration toLate = calm.minus(due).plusMillis(1);
+    Duration then = due.plus(quiet && gap.compareTo(toLate) > 0 ? toLate : gap);
+    loop.after(then.minus(loop.now()), () -> next(then));
+  }
+
+  private void ask(boolean late) {
+    int kind = chance.nextInt(10);
+    String repeat = kind < 2 ? "non_replayable" : kind < 4 ? "keyed" : "replayable";
+    int words = chance.nextInt(4) == 0 ? 800 : 10 + chance.nextInt(60);
+    boolean leaves = !late && chance.nextInt(leaving > 0 ? 2 : 6) == 0;
+    Ask a = new Ask("r" + asks++, kind < 2 ? "order" : kind < 4 ? "tweak" : "draft", repeat, chance.nextInt(4) > 0,
+        chance.nextInt(3) == 0 ? "" : "shared words", "s" + chance.nextInt(8), "ask " + "word ".repeat(words),
+        1 + (chance.nextInt(8) == 0 ? chance.nextInt(90) : chance.nextInt(6)), BUDGET, leaves ? Duration.ofMillis(chance.nextInt(200)) : null,
+        leaves ? 1 + chance.nextInt(4) : 0, late ? 3 : impatient > 0 ? 4 : 1,
+        chance.nextBoolean() && impatient == 0);
+    boolean returns = leaves && repeat.equals("keyed") && chance.nextBoolean();
+    Duration away = Duration.ofMillis(chance.nextBoolean() ? 50 + chance.nextInt(2000) : WINDOW.toMillis() + 500);
+    Slot s = slots.get(chance.nextInt(slots.size()));
+    send(a, s, late, returns ? away : null);
+  }
+
+  /** @param back after how long a client that left comes back with the same mark and key, within the window or past it; or null */
+  private void send(Ask a, Slot s, boolean late, Duration back) {
+    open++;
+    clients.ask(a, () -> new ChatClient.Target(s.name, s.at), o -> {
+      open--;
+      answers.merge(a.req(), o.how() == null ? "left" : o.how().name(), (x, y) -> x + ", " + y);
+      if (back != null && o.how() == null) {
+        Ask again = new Ask(a.req(), a.model(), a.repeat(), a.stream(), a.system(), a.session(), a.text(), a.answer(), a.budget(), null, 0,
+            0, true);
+        loop.after(back, () -> send(again, s, false, null));
+      }
+      doneLate += late && o.how() == Traffic.Answer.DONE ? 1 : 0;
+      tell(Sequence.CLIENTS, a.req() + " (" + a.repeat() + ", " + s.name + "): " + (o.how() == null ? "left" : o.how()) + ", tries " + o.tries());
+    });
+  }
+
+  // ---- faults
+
+  private Set<String> stages() {
+    Set<String> all = new TreeSet<>();
+    slots.stream().filter(s -> s.gateway != null).forEach(s -> all.addAll(s.gateway.stages()));
+    return all;
+  }
+
+  private void fire() {
+    Set<String> now = stages();
+    for (Plan.Fault f : List.copyOf(armed)) {
+      if (now.contains(f.when()) || loop.now().compareTo(TROUBLE) > 0) {
+        armed.remove(f);
+        fault(f);
+      }
+    }
+  }
+
+  private void fault(Plan.Fault f) {
+    String kind = f.kind();
+    Duration lasts = Duration.ofMillis(f.lasts());
+    faults.merge(kind, 1, Integer::sum);
+    List<Engine> all = List.copyOf(fleet.engines());
+    Engine e = all.get(f.which() % all.size());
+    Slot slot = slots.get(f.which() % slots.size());
+    stages().forEach(s -> coverage.merge(s + " / " + kind, 1L, Long::sum));
+    tell(Sequence.WORLD, kind + " for " + lasts.toMillis() + " ms (engine " + e.spec.id() + ", " + slot.name + ")");
+    switch (kind) {
+      case "engine dies" -> fleet.restart(e, lasts);
+      case "engine silent" -> {
+        e.faults.silent = true;
+        audit.deaf(loop.now(), e.spec.id(), true);
+      }
+      case "engine slow" -> e.faults.slow = 2 + 20 * f.amount();
+      case "engine fails" -> e.faults.failShare = 0.2 + 0.8 * f.amount();
+      case "answers lost" -> e.faults.loseAnswers = true;
+      case "resets" -> e.faults.resetShare = f.amount();
+      case "slow handshake" -> e.faults.handshake = Duration.ofMillis((long) (800 * f.amount()));
+      case "engine drains" -> fleet.say(e, ServerList.State.DRAINING);
+      case "texts forgotten" -> e.flush();
+      case "states lost" -> e.lose();
+      case "site cut" -> fleet.engines().stream().filter(x -> x.spec.zone().equals("zone0")).forEach(x -> {
+        x.faults.cutOff = java.util.Set.copyOf(slots.stream().filter(s -> plan.zones() == 1 || !s.name.equals("g0")).map(s -> s.name).toList());
+        audit.deaf(loop.now(), x.spec.id(), true);
+      });
+      case "list late" -> fleet.list.lateness = Duration.ofMillis((long) (3000 * f.amount()));
+      case "list fails" -> fleet.list.failing = true;
+      case "gateway dies" -> die(slot, lasts);
+      case "gateway stands still" -> {
+        leaving++;                                            // a client that hangs up meanwhile is news of the same instant
+        if (slot.gateway != null) {
+          slot.gateway.pause(lasts);
+          audit.excuse(slot.name, lasts);
+        }
+      }
+      case "slow network", "narrow network" -> ground.network(f, slot.name, null, true);
+      case "burst" -> rate *= 4;
+      case "one-way cut" -> {
+        ground.network(f, slot.name, null, true);
+        audit.excuse(slot.name, lasts);                       // what it does not hear, or can't say, is not its fault
+        all.forEach(x -> audit.deaf(loop.now(), x.spec.id(), true));
+      }
+      case "connects hang" -> {
+        ground.network(f, slot.name, e.address(), true);
+        audit.deaf(loop.now(), e.spec.id(), true);
+      }
+      case "clock jumps" -> {
+        if (slot.gateway != null) {
+          slot.gateway.jump(Duration.ofMillis((long) (10_000 * (f.amount() - 0.5))));
+        }
+      }
+      case "reports late" -> all.forEach(x -> x.faults.reportLate = Duration.ofMillis((long) (3000 * f.amount())));
+      case "reports wrong" -> e.faults.reportWrong = 1 + (int) (2.99 * f.amount());
+      case "list lost" -> fleet.list.losing = true;
+      case "list old" -> fleet.list.old = true;
+      case "drains in waves" -> {
+        for (int i = 0; i < all.size(); i++) {
+          Engine x = all.get(i);
+          loop.after(lasts.multipliedBy(i).dividedBy(all.size()), () -> fleet.say(x, ServerList.State.DRAINING));
+          loop.after(lasts.multipliedBy(i + 1).dividedBy(all.size()), () -> fleet.say(x, ServerList.State.READY));
+        }
+      }
+      case "torn list" -> {
+        ground.tear(f.amount());
+        die(slot, lasts);
+      }
+      case "retries at once" -> impatient++;
+      case "hang-ups" -> leaving++;
+      case "memory full" -> all.stream().filter(x -> x.spec.role().equals(e.spec.role()))
+          .forEach(x -> x.faults.memoryTaken = 0.99 + 0.01 * f.amount());
+      default -> throw new IllegalStateException(kind);
+    }
+    loop.after(lasts, () -> heal(f, e, slot));
+  }
+
+  private void heal(Plan.Fault f, Engine e, Slot slot) {
+    switch (f.kind()) {
+      case "engine silent" -> {
+        e.faults.silent = false;
+        audit.deaf(loop.now(), e.spec.id(), false);
+      }
+      case "engine slow" -> e.faults.slow = 1;
+      case "engine fails" -> e.faults.failShare = 0;
+      case "answers lost" -> e.faults.loseAnswers = false;
+      case "resets" -> e.faults.resetShare = 0;
+      case "slow handshake" -> e.faults.handshake = Duration.ZERO;
+      case "engine drains" -> fleet.say(e, ServerList.State.READY);
+      case "site cut" -> fleet.engines().forEach(x -> {
+        x.faults.cutOff = java.util.Set.of();
+        audit.deaf(loop.now(), x.spec.id(), x.faults.silent);
+      });
+      case "list late" -> fleet.list.lateness = Duration.ZERO;
+      case "list fails" -> fleet.list.failing = false;
+      case "slow network", "narrow network" -> ground.network(f, slot.name, null, false);
+      case "burst" -> rate /= 4;
+      case "one-way cut" -> {
+        ground.network(f, slot.name, null, false);
+        fleet.engines().forEach(x -> audit.deaf(loop.now(), x.spec.id(), x.faults.silent || !x.faults.cutOff.isEmpty()));
+      }
+      case "connects hang" -> {
+        ground.network(f, slot.name, e.address(), false);
+        audit.deaf(loop.now(), e.spec.id(), e.faults.silent);
+      }
+      case "reports late" -> fleet.engines().forEach(x -> x.faults.reportLate = Duration.ZERO);
+      case "reports wrong" -> e.faults.reportWrong = 0;
+      case "list lost" -> fleet.list.losing = false;
+      case "list old" -> fleet.list.old = false;
+      case "retries at once" -> impatient--;
+      case "hang-ups", "gateway stands still" -> leaving--;
+      case "memory full" -> fleet.engines().forEach(x -> x.faults.memoryTaken = 0);
+      default -> { }
+    }
+  }
+
+  private void die(Slot s, Duration lasts) {
+    if (s.gateway == null) {
+      return;
+    }
+    traffic.gateway(loop.now(), s.name, false);
+    s.gateway.kill();
+    s.gateway = null;
+    loop.after(lasts, () -> {
+      try {
+        up(s);
+      } catch (IOException e) {
+        throw new IllegalStateException(e);
+      }
+    });
+  }
+
+  /** Ends all that is still there. */
+  public void close() {
+    slots.stream().filter(s -> s.gateway != null).forEach(s -> s.gateway.kill());
+    fleet.close();
+  }
+}
--- a/src/test/java/gapproxy/ArchitectureTest.java
+++ b/src/test/java/gapproxy/ArchitectureTest.java
@@ -28,7 +28,7 @@
       .whereLayer("gateway").mayOnlyBeAccessedByLayers("daemon", "sim")
       .whereLayer("audit").mayOnlyBeAccessedByLayers("standin", "daemon", "sim", "day", "cli")
       .whereLayer("standin").mayOnlyBeAccessedByLayers("daemon", "sim", "day", "cli")
-      .whereLayer("sim").mayOnlyBeAccessedByLayers("cli")
+      .whereLayer("sim").mayOnlyBeAccessedByLayers("day", "cli")
       .whereLayer("daemon").mayOnlyBeAccessedByLayers("day", "cli")
       .whereLayer("day").mayOnlyBeAccessedByLayers("cli")
       .whereLayer("cli").mayNotBeAccessedByAnyLayer();
--- a/src/test/java/gapproxy/day/DayTest.java
+++ b/src/test/java/gapproxy/day/DayTest.java
@@ -7,6 +7,9 @@
 import gapproxy.config.Config;
 import gapproxy.config.ConfigErrors;
 import gapproxy.daemon.Logs;
+import gapproxy.sim.Plan;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeAll;
@@ -41,6 +44,13 @@
     good(new Day(Script.find("whole-path"), 3, 30, false).play());
   }
 
+  @Test
+  void aPlanThatSocketsCantPlayIsRefused() throws Exception {
+    Plan p = Plan.parse(Files.readString(Path.of("src/test/resources/corpus/gateway-stands-still.json")), "p");
+    assertTrue(assertThrows(IllegalArgumentException.class, () -> Sockets.compare(p, Path.of("target"))).getMessage()
+        .contains("gateway stands still"));
+  }
+
   @Test
   void wrongScriptsAreNamed() {
     assertTrue(assertThrows(ConfigErrors.class, () -> Script.find("no-such-day")).getMessage().contains("whole-path"));
--- a/src/test/java/gapproxy/sim/SimTest.java
+++ b/src/test/java/gapproxy/sim/SimTest.java
@@ -121,7 +121,7 @@
     IntStream.range(0, which.size()).parallel().forEach(i -> {
       Mutants.Mutant m = which.get(i);
       try {
-        String by = Mutants.find(m, 300);
+        String by = Mutants.find(m, 1000);
         found.put(m.name(), by == null ? "NOT FOUND" : by);
       } catch (Exception e) {
         found.put(m.name(), "NOT RUN: " + e);
