Leaks of timers and connections are checked; restarts of all engines of a role, under load

Change: at the end a gateway may have a few timers beyond those of its connections, and no more connections than it can have used at once. An engine's death may take all of its role, with clients that come back at once. Mutants are tried on the corpus too.

--- a/src/main/java/gapproxy/day/Sockets.java
+++ b/src/main/java/gapproxy/day/Sockets.java
@@ -154,6 +154,16 @@
         return n.mishaps();
       }
 
+      @Override
+      public int timers() {
+        return 0;
+      }
+
+      @Override
+      public int connections() {
+        return 0;
+      }
+
       @Override
       public Set<String> stages() {
         return Set.of();
--- a/src/main/java/gapproxy/sim/Ground.java
+++ b/src/main/java/gapproxy/sim/Ground.java
@@ -22,6 +22,12 @@
     /** Reqs that its safety net had to abort, and forwards decided for reqs that it no longer knew. */
     long mishaps();
 
+    /** Timers that are set beyond those of its open connections and the few that always run, where that can be told. */
+    int timers();
+
+    /** Open connections, where that can be told. */
+    int connections();
+
     /** The stages at which its reqs stand. */
     Set<String> stages();
 
--- a/src/main/java/gapproxy/sim/Scene.java
+++ b/src/main/java/gapproxy/sim/Scene.java
@@ -32,6 +32,10 @@
   private static final Duration BUDGET = Duration.ofSeconds(3), SLACK = Duration.ofMillis(60),
       GRACE = Duration.ofMillis(500), RELEASE = Duration.ofSeconds(1), TROUBLE = Duration.ofSeconds(5),
       RECOVERED = Duration.ofSeconds(12), WINDOW = Duration.ofSeconds(10);
+  private static final int MOST_CONNECTIONS = 120;          // pools keep what was once used at the same time
+  private static final Duration RETURN = Duration.ofSeconds(2);
+  private static final double ALL_DIE = 0.7;                  // past it all of a role restart together
+  private static final int MOST_TIMERS = 8;                   // the beat, the list's wait and a few that end soon
   private static final Map<String, Config> CONFIGS = new ConcurrentHashMap<>();
 
   private final class Slot {
@@ -129,6 +133,12 @@
       if (s.gateway != null && s.gateway.open() > 0) {
         found.add("leak: " + s.name + " has " + s.gateway.open() + " reqs in hand at the end");
       }
+      if (s.gateway != null && s.gateway.timers() > MOST_TIMERS) {
+        found.add("leak: " + s.name + " has " + s.gateway.timers() + " timers at the end");
+      }
+      if (s.gateway != null && s.gateway.connections() > MOST_CONNECTIONS) {
+        found.add("leak: " + s.name + " has " + s.gateway.connections() + " connections at the end");
+      }
       if (s.gateway != null && s.gateway.mishaps() > 0) {
         found.add("safety net: " + s.name + " aborted reqs or lost forwards, " + s.gateway.mishaps() + " in all");
       }
@@ -286,7 +296,14 @@
     stages().forEach(s -> coverage.merge(s + " / " + kind, 1L, Long::sum));
     tell(Sequence.WORLD, kind + " for " + lasts.toMillis() + " ms (engine " + e.spec.id() + ", " + slot.name + ")");
     switch (kind) {
-      case "engine dies" -> fleet.restart(e, lasts);
+      case "engine dies" -> {
+        fleet.restart(e, lasts);
+        if (f.amount() > ALL_DIE) {                           // and all that waited come back at once, to cold servers
+          all.stream().filter(x -> x != e && x.spec.role().equals(e.spec.role())).forEach(x -> fleet.restart(x, lasts));
+          rate *= 4;
+          loop.after(lasts.plus(RETURN), () -> rate /= 4);
+        }
+      }
       case "engine silent" -> {
         e.faults.silent = true;
         audit.deaf(loop.now(), e.spec.id(), true);
--- a/src/main/java/gapproxy/sim/SimGround.java
+++ b/src/main/java/gapproxy/sim/SimGround.java
@@ -74,6 +74,16 @@
         return g.mishaps();
       }
 
+      @Override
+      public int timers() {
+        return Math.max(0, own.timers() - connections());
+      }
+
+      @Override
+      public int connections() {
+        return net.connections(host);
+      }
+
       @Override
       public Set<String> stages() {
         return g.stages();
--- a/src/main/java/gapproxy/sim/SimNet.java
+++ b/src/main/java/gapproxy/sim/SimNet.java
@@ -99,8 +99,9 @@
     return seen.getValue();
   }
 
-  int connections() {
-    return open.size();
+  /** Open connections of a process. */
+  int connections(Host of) {
+    return (int) open.stream().filter(e -> e.host == of).count();
   }
 
   /** The network as one process sees it. */
@@ -165,7 +166,9 @@
         open.add(there);
         there.event(IOEvent.ACCEPTED);
         scheduler.after(delay(), () -> {
-          if (!loop.dead()) {
+          if (!loop.dead() && here.ended) {
+            then.failed(new ConnectException("reset"));       // its peer died meanwhile
+          } else if (!loop.dead()) {
             then.open(here);
           }
         });
--- a/src/test/java/gapproxy/sim/Mutants.java
+++ b/src/test/java/gapproxy/sim/Mutants.java
@@ -48,6 +48,7 @@
       new Mutant("broken counts as never sent", GATEWAY, "      case BROKEN -> Outcome.BROKEN;", "      case BROKEN -> Outcome.NO_CONNECTION;"),
       new Mutant("time-outs count as full", GATEWAY, "        end(f, Outcome.TIMED_OUT, 0, \"no answer within", "        end(f, Outcome.FULL, 0, \"no answer within"),
       new Mutant("ended reqs are never forgotten", GATEWAY, "    over.forEach(r -> reqs.remove(r.number, r));\n", ""),
+      new Mutant("an answered req's timer runs on", GATEWAY, "    r.limit.cancel();\n    give.run();", "    give.run();"),
       new Mutant("a req is forgotten before the decisions heard of it", GATEWAY, "      over.add(r);", "      reqs.remove(r.number);"),
       new Mutant("a client's key is not passed on", GATEWAY, "    key = key == null && group.repeat().equals(\"keyed\") ? name : key;", "      key = name;"),
       new Mutant("a failed list is never asked for again", GATEWAY, "    } else if (a instanceof Action.Subscribe) {\n      source.subscribe();",
@@ -58,6 +59,17 @@
 
   private Mutants() {}
 
+  private static String found(Object world) throws Exception {
+    Object verdict;
+    try {
+      verdict = world.getClass().getMethod("run").invoke(world);
+    } catch (java.lang.reflect.InvocationTargetException e) {
+      return String.valueOf(e.getCause());
+    }
+    List<?> found = (List<?>) verdict.getClass().getMethod("found").invoke(verdict);
+    return found.isEmpty() ? null : String.valueOf(found.get(0));
+  }
+
   /** The first of so many seeds at which a mutant is found, and by what; null where none finds it. */
   static String find(Mutant m, int seeds) throws Exception {
     Path sources = Path.of("src/main/java/gapproxy");
@@ -79,15 +91,17 @@
     try (Loader loader = new Loader(out.toUri().toURL(), classes.toUri().toURL())) {
       Class<?> world = loader.loadClass("gapproxy.sim.World");
       for (int seed = 1; seed <= seeds; seed++) {
-        Object verdict;
-        try {
-          verdict = world.getMethod("run").invoke(world.getConstructor(long.class, boolean.class).newInstance((long) seed, false));
-        } catch (java.lang.reflect.InvocationTargetException e) {
-          return "seed " + seed + ": " + e.getCause();
+        String found = found(world.getConstructor(long.class, boolean.class).newInstance((long) seed, false));
+        if (found != null) {
+          return "seed " + seed + ": " + found;
         }
-        List<?> found = (List<?>) verdict.getClass().getMethod("found").invoke(verdict);
-        if (!found.isEmpty()) {
-          return "seed " + seed + ": " + found.get(0);
+      }
+      Class<?> plan = loader.loadClass("gapproxy.sim.Plan");  // what seeds seldom bring together stands in the corpus
+      for (Path hard : SimTest.corpus().toList()) {
+        Object p = plan.getMethod("parse", String.class, String.class).invoke(null, Files.readString(hard), hard.toString());
+        String found = found(world.getConstructor(plan, boolean.class).newInstance(p, false));
+        if (found != null) {
+          return hard.getFileName() + ": " + found;
         }
       }
       return null;
