News of an engine that is gone teaches the one under its name nothing, nor spends its budget

Seen: five tests fail before: a forward out while its server's kind changed jammed its role for good (pool of the wrong role kept it as not begun, all later reqs pushed back); a first token under way when an engine died made its texts count as kept by the next one; four broken forwards of the old engine set the new one aside; a report asked of the old engine pushed back reqs of the new; an old list made a cold server warm (4 reqs in 400 ms where 1 is borne). Ruled out: kept, report, waits and health were reset on a told start, but only then, and what was out came in later all the same. Lines at fault: Rules.Server.take(Line), Begun, Over, Probed. Change: a forward and a probe belong to the engine that ran when they were sent; at a later start or another kind what is out leaves the books (unbegun, reads, open, held), all that was learned goes, and what already came to the new engine before its start was told has spent its cold budget. A start never moves back.

--- a/src/main/java/gapproxy/Box.java
+++ b/src/main/java/gapproxy/Box.java
@@ -19,6 +19,7 @@
   final Map<Long, Kept> kept = new HashMap<>();
   final Deque<Kept> recent = new ArrayDeque<>();              // tokens sent lately, for the reports' lag
   Event.Line line;
+  Duration start;                                             // the latest told; null: long ago. A list that is old moves it not back
   boolean listed = true;
   int reads, open;
   double held, unread;                                        // own forwards' tokens; those to be read here
@@ -29,6 +30,7 @@
     this.set = set;
     this.id = id;
     this.line = line;
+    this.start = line.upSince();
   }
 
   Settings.ServerKind kind() { return set.kinds().get(line.kind()); }
@@ -46,7 +48,7 @@
   boolean ready() { return listed && line.state() == Event.State.READY; }
 
   /** How long it has run. */
-  Duration warmFor(Duration now) { return line.upSince() == null ? LONG : now.minus(line.upSince()); }
+  Duration warmFor(Duration now) { return start == null ? LONG : now.minus(start); }
 
   /** Kept tokens of a text, up to so many, if it was seen since then. */
   double kept(long key, double most, Duration since) {
--- a/src/main/java/gapproxy/Note.java
+++ b/src/main/java/gapproxy/Note.java
@@ -13,9 +13,8 @@
 
   record Over(Try t, Event.Ended how) implements Note {}
 
-  record Heard(double[] report) implements Note {}
-
-  record Shown(Outcome outcome) implements Note {}
+  /** What came of a probe that was asked for then. */
+  record Shown(Outcome outcome, double[] report, Duration askedAt) implements Note {}
 
   /** A req wants a server's report, and has it. */
   record Asked(Rules.Req by) implements Note {}
--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -106,8 +106,7 @@
       mail.post(reqs.get(o.req()), e);
     } else if (e instanceof Event.Probed p && servers.containsKey(p.server())) {
       Server s = servers.get(p.server());
-      mail.post(s, new Note.Heard(p.report()));
-      mail.post(s, new Note.Shown(p.outcome()));
+      mail.post(s, new Note.Shown(p.outcome(), p.report(), now.minus(p.took())));
     } else if (e instanceof Event.ServerList l) {
       list(l);
     }
@@ -189,11 +188,13 @@
 
   /** One model server as this gateway sees it. */
   final class Server extends Box {
-    final Tally went = new Tally(2);                          // well, badly
+    Tally went = new Tally(2);                                // well, badly
     Waits waits = new Waits(FIRST_WAIT);                      // till the first token or the end of the read
     final Set<Try> unbegun = new LinkedHashSet<>();
+    final Set<Try> running = new LinkedHashSet<>();           // at the present engine
     final List<Req> askers = new ArrayList<>();
     Duration heardAt, fullAt, askedAt;
+    Duration since = Duration.ofNanos(-1);                    // what was sent up to then went to an engine that is no more
     Duration nextProbe = Duration.ZERO, creditAt = now;
     double credit = chance.nextDouble();
     boolean aside, probed;
@@ -279,15 +280,11 @@
     @Override
     void take(Object note) {
       if (note instanceof Event.Line l) {
-        if (l.upSince() != null && !l.upSince().equals(line.upSince())) {
-          kept.clear();
-          report = null;
-          waits = new Waits(FIRST_WAIT);
-          aside = false;
-          went.clear(1);
-          credit = chance.nextDouble();
-          creditAt = now;
+        boolean started = l.upSince() != null && (start == null || l.upSince().compareTo(start) > 0);
+        if (started || l.kind() != line.kind()) {
+          replaced(started ? l.upSince() : now);
         }
+        start = started ? l.upSince() : start;
         line = l;
         listed = true;
       } else if (note instanceof Note.Removed) {
@@ -297,16 +294,12 @@
         nextTrickle = now.plus(gap);
       } else if (note instanceof Note.Sent s) {
         sent(s.t());
-      } else if (note instanceof Note.Begun b) {
+      } else if (note instanceof Note.Begun b && running.contains(b.t())) {
         learn(b.t());
         begun(b.t());
         judge(true, b.t(), b.took());
-      } else if (note instanceof Note.Over o) {
+      } else if (note instanceof Note.Over o && running.contains(o.t())) {
         over(o.t(), o.how());
-      } else if (note instanceof Note.Heard h && h.report().length > 0) {
-        report = h.report();
-        heardAt = now;
-        recent.removeIf(k -> k.at().compareTo(now.minus(REPORT_LAG)) < 0);
       } else if (note instanceof Note.Asked a) {
         if (askedAt == null || now.minus(askedAt).compareTo(ASK_AGAIN) >= 0) {
           out.add(new Action.Probe(id));
@@ -317,14 +310,48 @@
       } else if (note instanceof Note.Shown s) {
         askers.forEach(r -> mail.post(r, new Note.Answered(this)));
         askers.clear();
-        probed = s.outcome() == Outcome.DONE;
-        nextProbe = aside && !probed ? now.plus(gap) : nextProbe;
+        if (s.askedAt().compareTo(since) > 0) {
+          heard(s.report());
+          probed = s.outcome() == Outcome.DONE;
+          nextProbe = aside && !probed ? now.plus(gap) : nextProbe;
+        }
       } else if (note instanceof Note.Beat b) {
         beat(b.halve());
       }
     }
 
+    /**
+     * Another engine under the same name: all that was learned goes, and what is out at the engine before leaves the
+     * books, so that news of it teaches the new one nothing. What came to the new one before its start was told
+     * has spent its cold budget.
+     */
+    private void replaced(Duration from) {
+      since = from;
+      List.copyOf(running).stream().filter(t -> t.sentAt.compareTo(from) <= 0).forEach(this::out);
+      kept.clear();
+      recent.clear();
+      report = null;
+      waits = new Waits(FIRST_WAIT);
+      went = new Tally(2);
+      aside = false;
+      probed = false;
+      fullAt = null;
+      askedAt = null;
+      trickleFor = null;
+      credit = chance.nextDouble() - running.size();
+      creditAt = now;
+    }
+
+    private void heard(double[] told) {
+      if (told.length > 0) {
+        report = told;
+        heardAt = now;
+        recent.removeIf(k -> k.at().compareTo(now.minus(REPORT_LAG)) < 0);
+      }
+    }
+
     private void sent(Try t) {
+      running.add(t);
       unbegun.add(t);
       pool().unbegun.add(t);
       reads += t.read ? 1 : 0;
@@ -347,12 +374,17 @@
       t.unread = 0;
     }
 
-    private void over(Try t, Event.Ended how) {
+    private void out(Try t) {
+      running.remove(t);
       begun(t);
       reads -= t.read ? 1 : 0;
       open -= t.read ? 0 : 1;
       hold(open == 0 ? -held : t.read ? 0 : -t.weight);
-      take(new Note.Heard(how.report()));
+    }
+
+    private void over(Try t, Event.Ended how) {
+      out(t);
+      heard(how.report());
       switch (how.outcome()) {
         case READ -> {
           learn(t);
--- a/src/test/java/gapproxy/RulesTest.java
+++ b/src/test/java/gapproxy/RulesTest.java
@@ -383,12 +383,79 @@
 
   // ---- another engine under a known name
 
+  /** One reader (1) and one writer (2) in one cell. */
+  private static World pair(Settings.Source source) {
+    World w = new World(World.grown(World.plain(), 1, source), 1);
+    w.start(1, 2);
+    return w;
+  }
 
   private static void at(World w, long ms) {
     w.now = World.ms(ms);
     w.step(new Event.Wake(0));
   }
 
+  @Test
+  void aForwardOutWhileItsServerChangesItsKindDoesNotJamItsRole() {
+    World w = ready();
+    Job j = w.accept(0, 1, 0, 4000, 0, World.ms(60_000));
+    Fwd f = j.forwards.get(0);
+    w.tell(w.line(f.server, 1, 0, Event.State.READY, null));  // a reader comes back as a writer
+    w.hangUp(j);
+    w.end(f, Outcome.CANCELLED, 0);
+    for (int ms = 1000; ms <= 40_000; ms += 100) {
+      at(w, ms);
+    }
+    assertEquals(1, w.accept(0, 2, 0, 4000, 0, BUDGET).forwards.size());
+  }
+
+  @Test
+  void whatTheEngineBeforeStillBeginsIsNotKeptByTheNewOne() {
+    World w = pair(Settings.Source.NONE);
+    Job j = w.accept(0, 1, 0, 4000, 0, World.ms(60_000));
+    w.end(j.forwards.get(0), Outcome.READ, 0);
+    at(w, 20_000);
+    w.tell(w.line(2, 1, 0, Event.State.READY, World.ms(5000)));
+    w.begin(j.forwards.get(1));                               // news under way when the engine died
+    assertEquals(Role.READ, role(w, w.accept(0, 1, 0, 4100, 0, BUDGET).forwards.get(0)));
+  }
+
+  @Test
+  void failuresOfTheEngineBeforeDoNotSetTheNewOneAside() {
+    World w = pair(Settings.Source.NONE);
+    List<Fwd> before = java.util.stream.IntStream.range(0, 4).mapToObj(i -> w.accept(0, 1 + i, 0, 100, 0, World.ms(60_000)).forwards.get(0)).toList();
+    w.tell(w.line(3, 1, 0, Event.State.READY, null));
+    at(w, 20_000);
+    w.tell(w.line(2, 1, 0, Event.State.READY, World.ms(5000)));
+    before.forEach(f -> w.end(f, Outcome.BROKEN, 0));
+    w.tell(w.line(3, 1, 0, Event.State.GONE, null));
+    assertEquals(1, w.accept(0, 9, 0, 100, 0, BUDGET).forwards.size());
+  }
+
+  @Test
+  void aReportAskedOfTheEngineBeforeIsNotTheNewOnes() {
+    World w = pair(Settings.Source.BY_PROBE);
+    at(w, 20_000);
+    w.tell(w.line(2, 1, 0, Event.State.READY, World.ms(5000)));
+    w.step(new Event.Probed(2, Outcome.DONE, World.ms(16_000), new double[] {9, 9, 5, 0}));
+    Job j = w.accept(0, 1, 0, 100, 0, BUDGET);
+    at(w, 20_040);
+    assertEquals(1, j.forwards.size(), "pushed back for the load of an engine that is gone");
+  }
+
+  @Test
+  void anOldListMakesNoColdServerWarm() {
+    World w = ready();
+    w.tell(w.line(1, 0, 0, Event.State.READY, World.ms(0)));
+    w.tell(w.line(1, 0, 0, Event.State.READY, null));         // as it was before its start
+    int cold = 0;
+    for (int i = 0; i < 20; i++) {
+      w.now = w.now.plus(World.ms(20));
+      cold += w.accept(0, 100 + i, 0, 4000, 0, BUDGET).forwards.stream().filter(f -> f.server == 1).count();
+    }
+    assertTrue(cold <= 1, "sent " + cold);
+  }
+
   /** Kinds reader, writer and both; one group of that repeat and scope. */
   private static World mixed(Settings.Repeat repeat, Settings.Scope scope) {
     Settings s = World.settings(List.of(new Settings.EndpointGroup(repeat, scope, World.ms(5000), 1, World.ms(1500), World.ms(40))),
