Places are held without copies, unknown kinds are not used, untold kept texts cost no trust

Found by reading; a test each, seen failing. Holds: plan asked for a place after its read was out, and the send gate then saw a second copy, so with hold_ahead and without copies (the gateway's default) no place was ever held. Unknown kind: a line whose kind the settings lack was passed over, and the line before stayed in force, drains included. Untold: an engine that does not tell kept tokens looked like one that kept none, and every local read struck out the table.

--- a/src/main/java/gapproxy/Box.java
+++ b/src/main/java/gapproxy/Box.java
@@ -19,7 +19,7 @@
   final Map<Long, Kept> kept = new HashMap<>();
   final Deque<Kept> recent = new ArrayDeque<>();              // tokens sent lately, for the reports' lag
   Event.Line line;
-  Duration start;                                             // the latest told; null: long ago. A list that is old moves it not back
+  Duration start;                                             // the latest told, null: long ago; an old list moves it not back
   boolean listed = true;
   int reads, open;
   double held, unread;                                        // own forwards' tokens; those to be read here
--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -120,6 +120,8 @@
     for (Event.Line line : l.lines()) {
       if (line.kind() < set.kinds().size()) {
         mail.post(servers.computeIfAbsent(line.server(), id -> new Server(id, line)), line);
+      } else if (servers.containsKey(line.server())) {
+        mail.post(servers.get(line.server()), new Note.Removed()); // of a kind that can't be used
       }
     }
     if (l.form() != Event.ListForm.CHANGES) {
@@ -194,7 +196,7 @@
     final Set<Try> running = new LinkedHashSet<>();           // at the present engine
     final List<Req> askers = new ArrayList<>();
     Duration heardAt, fullAt, askedAt;
-    Duration since = Duration.ofNanos(-1);                    // what was sent up to then went to an engine that is no more
+    Duration since = Duration.ofNanos(-1);                    // sent till then: to an engine that is gone
     Duration nextProbe = Duration.ZERO, creditAt = now;
     double credit = chance.nextDouble();
     boolean aside, probed;
@@ -321,9 +323,9 @@
     }
 
     /**
-     * Another engine under the same name: all that was learned goes, and what is out at the engine before leaves the
-     * books, so that news of it teaches the new one nothing. What came to the new one before its start was told
-     * has spent its cold budget.
+     * Another engine under the same name: all that was learned goes, and what is out at the one before leaves
+     * the books, so that news of it teaches the new one nothing. What came to the new one before its start
+     * was told has spent its cold budget.
      */
     private void replaced(Duration from) {
       since = from;
@@ -411,10 +413,11 @@
     /**
      * Kept-text trust. Guards against kept texts gone void while the table still credits them, and against a
      * server that forgets early for want of memory: what was believed before that forward was sent is struck
-     * out. It costs a few needless remote reads when one text was pushed out and the others were not.
+     * out, unless the answer does not tell what was kept (-1). It costs a few needless remote reads when one
+     * text was pushed out and the others were not.
      */
     private void trust(Try t, double foundKept) {
-      if (t.local && t.believed > 300 && foundKept < t.believed / 2) {
+      if (t.local && t.believed > 300 && foundKept >= 0 && foundKept < t.believed / 2) {
         kept.values().removeIf(k -> k.at().compareTo(t.sentAt) < 0);
       }
     }
@@ -731,9 +734,9 @@
       if (rd == null && !companion.readsItself() || tooLate(rd, companion)) {
         giveUp();
       } else if (rd != null) {
+        holding = set.holdAhead() && open(this, companion);   // before the read: a place is no second copy
         send(this, rd, true, patience(rd, in.prompt()));
-        if (set.holdAhead() && open(this, companion)) {
-          holding = true;
+        if (holding) {
           out.add(new Action.Hold(in.req(), companion.id));
         }
       } else {
--- a/src/main/java/gapproxy/Try.java
+++ b/src/main/java/gapproxy/Try.java
@@ -30,7 +30,7 @@
     this.sentAt = sentAt;
   }
 
-  /** Judged by what the server was at the send: by now another engine, elsewhere or of another kind, may bear its name. */
+  /** By what the server was at the send: another engine, elsewhere or of another kind, may bear its name by now. */
   boolean mayHaveRun() {
     return !harmless && (how == null || !how.neverRan());
   }
--- a/src/main/java/gapproxy/api/Event.java
+++ b/src/main/java/gapproxy/api/Event.java
@@ -36,7 +36,7 @@
     }
   }
 
-  /** How a forward ended; {@code note} is kept tokens, or 1 with FULL where there was no state. */
+  /** How a forward ended; {@code note} is kept tokens, -1 where that is not told, or 1 with FULL where there was no state. */
   record Ended(long req, int forward, Outcome outcome, long server, long note, boolean closed,
       Duration took, double[] report) implements OfReq {}
 
--- a/src/test/java/gapproxy/RulesTest.java
+++ b/src/test/java/gapproxy/RulesTest.java
@@ -488,4 +488,30 @@
   }
 
   // ---- found by the review
+
+  @Test
+  void aPlaceIsHeldWhereNoSecondCopyMayBeSent() {
+    World w = mixed(Settings.Repeat.REPLAYABLE, Settings.Scope.ALL);
+    w.accept(0, 1, 0, 4000, 0, BUDGET);
+    assertTrue(w.last.stream().anyMatch(a -> a instanceof Action.Hold), w.last.toString());
+  }
+
+  @Test
+  void aServerOfAnUnknownKindIsNoLongerUsed() {
+    World w = pair(Settings.Source.NONE);
+    w.tell(w.line(2, 9, 0, Event.State.READY, null));
+    assertEquals(0, w.accept(0, 1, 0, 100, 0, BUDGET).forwards.size());
+  }
+
+  @Test
+  void anAnswerThatDoesNotTellWhatWasKeptCostsNoTrust() {
+    World w = pair(Settings.Source.NONE);
+    w.end(run(w, w.accept(0, 1, 0, 4000, 0, BUDGET)), Outcome.DONE, -1);
+    w.end(run(w, w.accept(0, 2, 0, 4000, 0, BUDGET)), Outcome.DONE, -1);
+    w.now = w.now.plus(World.ms(10));
+    Job next = w.accept(0, 1, 0, 4100, 0, BUDGET);
+    assertEquals(Role.WRITE, role(w, next.forwards.get(0)));
+    w.end(run(w, next), Outcome.DONE, -1);
+    assertEquals(Role.WRITE, role(w, w.accept(0, 2, 0, 4100, 0, BUDGET).forwards.get(0)), "struck out though nobody said so");
+  }
 }
