States and places are let go on every error path; engines that serve nothing are no refuge

Ruled out: 14 kinds of malformed answers at readers and writers, lists torn, lost and wrong, long answers, tool calls: all held.

--- a/src/main/java/gapproxy/engine/Engines.java
+++ b/src/main/java/gapproxy/engine/Engines.java
@@ -15,7 +15,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 
 /**
  * Calls to engines in the form of vLLM's disaggregated serving. A read is a completion of one token with
@@ -141,12 +140,13 @@
         });
   }
 
-  /** Asks a writer to hold a place for so many tokens; says whether it does. */
-  public void hold(InetSocketAddress to, String id, int tokens, Duration within, Consumer<Boolean> then) {
+  /** Asks a writer to hold a place for so many tokens; says whether it does, and whether that is sure. */
+  public void hold(InetSocketAddress to, String id, int tokens, Duration within, BiConsumer<Boolean, Boolean> then) {
     byte[] body = bytes(JsonNodeFactory.instance.objectNode().put("tokens", tokens));
     limited(within, to, "PUT", "/v1/kv_transfer/" + id,
         Map.of("x-gapproxy-gateway", gateway, "content-type", "application/json"), body,
-        (status, b, how) -> then.accept(how == null && status / 100 == 2));
+        (status, b, how) -> then.accept(how == null && status / 100 == 2,
+            how == null || how.kind() == Verdict.Kind.NO_CONNECTION));
   }
 
   /** Closes the pooled connections to an address that is no longer in use. */
@@ -206,8 +206,9 @@
     }
   }
 
-  static long kept(JsonNode usage) {
-    return usage.path("prompt_tokens_details").path("cached_tokens").asLong(0);
+  /** Prompt tokens that were found kept, or -1 where the engine does not tell. */
+  public static long kept(JsonNode usage) {
+    return usage.path("prompt_tokens_details").path("cached_tokens").asLong(-1);
   }
 
   private static Verdict broken(HttpClient.Failure how, String why) {
--- a/src/main/java/gapproxy/engine/Verdict.java
+++ b/src/main/java/gapproxy/engine/Verdict.java
@@ -12,9 +12,9 @@
     FULL,
     /** 410: the state that was to be fetched is gone; nothing was done. */
     NO_STATE,
-    /** Another status of 400 and up to 499: the request itself is at fault. */
+    /** 400, 413 or 422: the request itself is at fault. */
     CLIENT_ERROR,
-    /** A status of 500 and up, or an answer that can't be understood. */
+    /** Any other status, or an answer that can't be understood: 404 too, since the gateway has checked model and path. */
     ERROR,
     /** No connection, so nothing was sent. */
     NO_CONNECTION,
@@ -24,8 +24,7 @@
 
   static Verdict ofStatus(int status, byte[] body) {
     Kind kind = status == 429 || status == 503 ? Kind.FULL : status == 410 ? Kind.NO_STATE
-        : status >= 400 && status < 500 && status != 401 && status != 403 && status != 408 ? Kind.CLIENT_ERROR
-        : Kind.ERROR;
+        : status == 400 || status == 413 || status == 422 ? Kind.CLIENT_ERROR : Kind.ERROR;
     return new Verdict(kind, status, body, "status " + status);
   }
 }
--- a/src/main/java/gapproxy/gateway/Fleet.java
+++ b/src/main/java/gapproxy/gateway/Fleet.java
@@ -24,7 +24,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
 
   /** A server, as the last list that named it says. */
-  record Server(ServerList.Entry entry, Role role, Duration up) {
+  record Server(ServerList.Entry entry, int zone, int kind, Role role, Duration up) {
     long id() {
       return entry.id();
     }
@@ -52,9 +52,9 @@
     return servers.get(id);
   }
 
-  /** Whether any server is there to be used. */
+  /** Whether any server is there that could answer: readers alone can't. */
   boolean anyReady() {
-    return listed.values().stream().anyMatch(e -> e.state() == ServerList.State.READY);
+    return listed.values().stream().anyMatch(e -> e.state() == ServerList.State.READY && get(e.id()).role() != Role.READ);
   }
 
   /** The list as it is held, for the copy that outlives a restart. */
@@ -74,11 +74,16 @@
       if (kind < 0 || zone < 0) {
         LOG.atWarn().addKeyValue("server", e.id()).addKeyValue("kind", e.kind()).addKeyValue("zone", e.zone())
             .log("a server of the list has a kind or zone that the settings do not know; it is left out");
+        Server known = servers.get(e.id());
+        listed.remove(e.id());
+        if (known != null) {                                  // what was said of it before no longer holds
+          lines.add(line(known, Event.State.GONE));
+        }
         continue;
       }
       Server before = servers.get(e.id());
-      Duration up = up(e, before);
-      servers.put(e.id(), new Server(e, role(kind), up));
+      Server s = new Server(e, zone, kind, role(kind), up(e, before));
+      servers.put(e.id(), s);
       if (before != null && !before.address().equals(e.address())) {
         unused.accept(before.address());
       }
@@ -88,23 +93,30 @@
       } else {
         listed.put(e.id(), e);
       }
-      lines.add(new Event.Line(e.id(), zone, kind, cell(e), Event.State.valueOf(e.state().name()), e.size(), up));
+      lines.add(line(s, Event.State.valueOf(e.state().name())));
     }
     lastList = remembered ? null : loop.now();
     return new Event.ServerList(remembered ? Event.ListForm.REMEMBERED
         : list.complete() ? Event.ListForm.COMPLETE : Event.ListForm.CHANGES, lines);
   }
 
+  private static Event.Line line(Server s, Event.State state) {
+    return new Event.Line(s.id(), s.zone(), s.kind(), cell(s.entry()), state, s.entry().size(), s.up());
+  }
+
   /**
    * Since when a server runs, on the loop's clock. Worked out once for each start: the wall clock may be set meanwhile, and a start that
    * moves looks like another one. Guards against a wall clock that is ahead: a start that the list before did not have came after
-   * that list, so such a server is not taken for a warm one.
+   * that list, so such a server is not taken for a warm one. At another address it is another engine, whatever the list says of its
+   * start: all that was sent up to now went to the one before.
    */
   private Duration up(ServerList.Entry e, Server before) {
-    if (e.upSince() == null) {
-      return null;
-    } else if (before != null && e.upSince().equals(before.entry().upSince())) {
+    if (before != null && !before.address().equals(e.address())) {
+      return loop.now();
+    } else if (before != null && Objects.equals(e.upSince(), before.entry().upSince())) {
       return before.up();
+    } else if (e.upSince() == null) {
+      return null;
     }
     Duration told = loop.now().minus(Duration.between(e.upSince(), loop.wall()));
     return lastList != null && told.compareTo(lastList) < 0 ? lastList : told;
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -379,7 +379,7 @@
         }
       });
     } else {
-      String place = r.place != null && r.place.at() == s ? r.place.id() : null;
+      String place = r.place != null && r.place.at().address().equals(s.address()) ? r.place.id() : null;
       if (place == null) {
         leave(r);
       }
@@ -407,7 +407,7 @@
       }
       JsonNode usage = c.usage();
       if (usage != null) {
-        f.kept = usage.path("prompt_tokens_details").path("cached_tokens").asLong(0);
+        f.kept = Engines.kept(usage);
         prompt = usage.path("prompt_tokens").asLong(0);
         r.tokens = usage.path("completion_tokens").asLong(r.tokens);
       }
@@ -563,10 +563,10 @@
       counts.clientErrors++;
       answer(r, "refused", 'E', "", () ->
           r.exchange.respond(how.status(), headers(r, "application/json"), how.body()));
-      end(f, Outcome.DONE, 0, how.why());
+      end(f, Outcome.NOT_SENT, 0, how.why());                 // as an answer it would tell of texts that were not kept
     } else {
       if (how.kind() == Verdict.Kind.NO_STATE) {
-        r.state = null;
+        freeState(r);                                         // a writer that can't reach the reader says so too
       }
       end(f, outcome(how), how.kind() == Verdict.Kind.NO_STATE ? 1 : 0, how.why());
     }
@@ -624,10 +624,16 @@
     Req.Place p = new Req.Place(s, r.name + "-p" + r.forwards.size());
     r.place = p;
     int forward = r.forwards.size() - 1;
-    engines.hold(s.address(), p.id(), r.prompt, Config.span(config.rules().releaseWithinMs()), well -> {
-      if (!well && r.place == p) {
+    engines.hold(s.address(), p.id(), r.prompt, Config.span(config.rules().releaseWithinMs()), (well, sure) -> {
+      boolean wanted = r.place == p;
+      if (wanted && !well) {
         r.place = null;
       }
+      if (!sure) {
+        held.freeLater(s.address(), p.id());                  // the answer may be lost and the place held
+      } else if (well && !wanted) {
+        held.free(s.address(), p.id());                       // given up, or its stream begun, before it was held
+      }
       watcher.accept(r.stage().name(), well ? "place held" : "place refused");
       if (forward >= 0 && r.forwards.get(forward).out()) {
         pending.add(new Event.Held(r.number, forward, s.id(), well));
@@ -643,12 +649,18 @@
     }
   }
 
+  private void freeState(Req r) {
+    if (r.state != null) {
+      held.free(r.state.at().address(), r.state.id());
+      r.state = null;
+    }
+  }
+
   /** Lets go of the state and the place, but for a state that a running forward fetches. */
   private void drop(Req r) {
     boolean fetching = r.forwards.stream().anyMatch(f -> f.out() && f.kind == Req.Kind.WRITE);
-    if (r.state != null && !fetching) {
-      held.free(r.state.at().address(), r.state.id());
-      r.state = null;
+    if (!fetching) {
+      freeState(r);
     }
     if (!r.forwards.stream().anyMatch(f -> f.out() && f.kind != Req.Kind.READ)) {
       leave(r);
--- a/src/main/java/gapproxy/gateway/Req.java
+++ b/src/main/java/gapproxy/gateway/Req.java
@@ -29,7 +29,7 @@
     final StringBuilder relay = new StringBuilder();          // events that wait to be given to the client
     boolean begun;
     boolean waits;                                            // for the end of the turn, to be written
-    long kept;
+    long kept = -1;                                           // not told
     String why = "";
 
     Forward(Req req, Fleet.Server at, Kind kind, Duration sent) {
--- a/src/test/java/gapproxy/gateway/StartTimesTest.java
+++ b/src/test/java/gapproxy/gateway/StartTimesTest.java
@@ -46,19 +46,39 @@
   };
 
   private Duration up(Fleet f, long index, Instant since) throws Exception {
-    String servers = since == null ? "" : "{\"id\": 1, \"address\": \"h:9\", \"kind\": \"w\", \"up_since_ms\": " + since.toEpochMilli() + "}";
+    return up(f, index, "127.0.0.1:9", since);
+  }
+
+  private Duration up(Fleet f, long index, String address, Instant since) throws Exception {
+    String servers = "{\"id\": 1, \"address\": \"" + address + "\", \"kind\": \"w\""
+        + (since == null ? "" : ", \"up_since_ms\": " + since.toEpochMilli()) + "}";
     Event.ServerList l = f.take(ServerList.parse(("{\"epoch\": \"e\", \"index\": " + index + ", \"servers\": [" + servers + "]}")
         .getBytes(StandardCharsets.UTF_8)), false);
     return l.lines().isEmpty() ? null : l.lines().get(0).upSince();
   }
 
-  @Test
-  void aStartStaysWhereItWasAndAClockAheadMakesNoServerWarm() throws Exception {
-    Config c = ConfigReader.parse("""
+  private static Config config() throws Exception {
+    return ConfigReader.parse("""
         {"name": "g", "groups": [{"name": "m", "models": ["m"]}], "kinds": [{"name": "w", "role": "write", "memory_tokens": 1000}],
          "list": {"file": "x"}}
         """, "test");
-    Fleet f = new Fleet(c, loop, a -> { });
+  }
+
+  @Test
+  void anotherAddressIsAnotherEngineThatBeginsNow() throws Exception {
+    Fleet f = new Fleet(config(), loop, a -> { });
+    assertEquals(null, up(f, 1, "127.0.0.1:9", null));
+    now = Duration.ofSeconds(150);
+    assertEquals(now, up(f, 2, "127.0.0.1:10", null));
+    Duration then = now;
+    now = Duration.ofSeconds(160);
+    assertEquals(then, up(f, 3, "127.0.0.1:10", null));
+    assertEquals(now, up(f, 4, "127.0.0.1:11", EPOCH.plusSeconds(20)), "sent till then went to the one before");
+  }
+
+  @Test
+  void aStartStaysWhereItWasAndAClockAheadMakesNoServerWarm() throws Exception {
+    Fleet f = new Fleet(config(), loop, a -> { });
     Instant first = EPOCH.plusSeconds(40);
     assertEquals(Duration.ofSeconds(40), up(f, 1, first));
     now = Duration.ofSeconds(200);
--- /dev/null
+++ b/src/test/java/gapproxy/sim/ErrorPathsTest.java
@@ -0,0 +1,330 @@
+package gapproxy.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gapproxy.config.Config;
+import gapproxy.daemon.Logs;
+import gapproxy.http.Exchange;
+import gapproxy.sim.SimBed.Answer;
+import gapproxy.sim.SimBed.Asked;
+import gapproxy.sim.SimBed.Script;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Error paths that neither tests nor seeds had run, each with the real gateway on virtual time. */
+class ErrorPathsTest {
+  private static final int REMOTE = 2000;
+  private static final String HOLDS = ", \"hold_ahead\": true";
+
+  @BeforeAll
+  static void quiet() {
+    Logs.use(new Config.Log("text", "off"));
+  }
+
+  private static SimBed bed(String more, Script reader, Script writer) throws Exception {
+    SimBed b = new SimBed(more);
+    b.engine(1, "reader", reader);
+    b.engine(2, "writer", writer);
+    return b.start();
+  }
+
+  private static List<Asked> of(SimBed b, long engine, String method) {
+    return b.asked.stream().filter(a -> a.engine() == engine && a.q().method().equals(method)).toList();
+  }
+
+  private static void over(SimBed b, Answer a, int status) {
+    b.run(4000);
+    assertEquals(status, a.status, a.text());
+    assertTrue(a.ended != null, "no end");
+    assertEquals(0, b.gateway.open());
+    assertEquals(0, b.gateway.mishaps());
+  }
+
+  private static void say(Exchange x, int status, String body) {
+    x.respond(status, Map.of("content-type", "application/json"), body.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+  }
+
+  private static void stream(Exchange x, String events) {
+    x.begin(200, Map.of("content-type", "text/event-stream"));
+    x.write(events);
+    x.end();
+  }
+
+  // ---- states and places
+
+  @Test
+  void aStateThatItsWriterCannotFetchIsFreedAtTheReader() throws Exception {
+    SimBed b = bed("", SimBed.WELL, SimBed.first(1, (x, q, body) -> say(x, 410, "{}")));
+    Answer a = b.ask(REMOTE);
+    over(b, a, 200);
+    String id = of(b, 1, "POST").get(0).q().header("x-request-id");
+    assertTrue(of(b, 1, "DELETE").stream().anyMatch(d -> d.q().path().endsWith(id)), "held until the reader forgets it by itself");
+  }
+
+  @Test
+  void aPlaceSurvivesAListThatComesMeanwhile() throws Exception {
+    SimBed b = new SimBed(HOLDS);
+    b.engine(1, "reader", (x, q, body) -> b.world.after(Duration.ofMillis(300), () -> SimBed.WELL.serve(x, q, body)));
+    InetSocketAddress w = b.engine(2, "writer", SimBed.WELL);
+    b.start();
+    Answer a = b.ask(REMOTE);
+    b.run(50);
+    assertEquals(1, of(b, 2, "PUT").size(), "no place was asked for");
+    b.line(2, "writer", w, ", \"size\": 2");
+    b.list();
+    over(b, a, 200);
+    String place = of(b, 2, "PUT").get(0).q().path().substring("/v1/kv_transfer/".length());
+    assertEquals(place, of(b, 2, "POST").get(0).q().header("x-gapproxy-place"));
+  }
+
+  @Test
+  void aPlaceWhoseAnswerIsLostIsFreedAllTheSame() throws Exception {
+    SimBed b = new SimBed(HOLDS);
+    b.engine(1, "reader", (x, q, body) -> b.world.after(Duration.ofMillis(1500), () -> SimBed.WELL.serve(x, q, body)));
+    b.engine(2, "writer", (x, q, body) -> {
+      if (!q.method().equals("PUT")) {                        // it holds the place, and its answer never comes
+        SimBed.WELL.serve(x, q, body);
+      }
+    });
+    b.start();
+    Answer a = b.ask(REMOTE);
+    b.run(4000);
+    assertTrue(a.ended != null);
+    for (Asked put : of(b, 2, "PUT")) {
+      assertTrue(of(b, 2, "DELETE").stream().anyMatch(d -> d.q().path().equals(put.q().path())
+          && d.at().compareTo(put.at()) > 0), put.q().path() + " is never let go");
+    }
+  }
+
+  @Test
+  void aPlaceThatIsHeldOnlyAfterItWasGivenUpIsFreed() throws Exception {
+    SimBed b = new SimBed(HOLDS);
+    b.engine(1, "reader", SimBed.WELL);
+    b.engine(2, "writer", (x, q, body) -> {
+      if (q.method().equals("PUT")) {                         // slow to take it: by then the stream has begun
+        b.world.after(Duration.ofMillis(500), () -> SimBed.WELL.serve(x, q, body));
+      } else {
+        SimBed.WELL.serve(x, q, body);
+      }
+    });
+    b.start();
+    Answer a = b.ask(REMOTE);
+    over(b, a, 200);
+    Asked put = of(b, 2, "PUT").get(0);
+    assertTrue(of(b, 2, "DELETE").stream().anyMatch(d -> d.q().path().equals(put.q().path())
+        && d.at().compareTo(put.at().plusMillis(500)) >= 0), "held for good");
+  }
+
+  @Test
+  void aPlaceThatIsRefusedIsNotMissed() throws Exception {
+    SimBed b = bed(HOLDS, SimBed.WELL, (x, q, body) -> {
+      if (q.method().equals("PUT")) {
+        say(x, 409, "{}");
+      } else {
+        SimBed.WELL.serve(x, q, body);
+      }
+    });
+    over(b, b.ask(REMOTE), 200);
+    assertEquals(null, of(b, 2, "POST").get(0).q().header("x-gapproxy-place"));
+  }
+
+  // ---- what engines may say
+
+  private static final Map<String, Script> ODD = new LinkedHashMap<>();
+
+  static {
+    ODD.put("full", (x, q, body) -> say(x, 429, "{}"));
+    ODD.put("not to be had", (x, q, body) -> say(x, 503, "{}"));
+    ODD.put("an error", (x, q, body) -> say(x, 500, "{}"));
+    ODD.put("a model that it does not serve", (x, q, body) -> say(x, 404, "{}"));
+    ODD.put("a key that it wants", (x, q, body) -> say(x, 401, "{}"));
+    ODD.put("no JSON", (x, q, body) -> say(x, 200, "{\"kv_transfer_params\": "));
+    ODD.put("no transfer parameters", (x, q, body) -> say(x, 200, "{\"choices\": []}"));
+    ODD.put("an event that is no JSON", (x, q, body) -> stream(x, "data: {\"choices\n\n"));
+    ODD.put("an event that is no object", (x, q, body) -> stream(x, "data: 7\n\n"));
+    ODD.put("an error event", (x, q, body) -> stream(x, "data: {\"error\": {\"message\": \"x\"}}\n\ndata: [DONE]\n\n"));
+    ODD.put("no token", (x, q, body) -> stream(x, "data: [DONE]\n\n"));
+    ODD.put("no end", (x, q, body) -> stream(x, "data: {\"choices\": [{\"delta\": {\"role\": \"assistant\"}}]}\n\n"));
+    ODD.put("an endless event", (x, q, body) -> stream(x, "data: " + "x".repeat((1 << 20) + 9)));
+    ODD.put("a cut", (x, q, body) -> x.cut());
+  }
+
+  static Stream<String> odd() {
+    return ODD.keySet().stream();
+  }
+
+  @ParameterizedTest
+  @MethodSource("odd")
+  void whatAReaderSaysAmissIsAskedAgain(String what) throws Exception {
+    SimBed b = bed("", SimBed.first(1, ODD.get(what)), SimBed.WELL);
+    over(b, b.ask(REMOTE), 200);
+  }
+
+  @ParameterizedTest
+  @MethodSource("odd")
+  void whatAWriterSaysAmissIsAskedAgain(String what) throws Exception {
+    SimBed b = bed("", SimBed.WELL, SimBed.first(1, ODD.get(what)));
+    over(b, b.ask(20), 200);
+    over(b, b.ask("draft", 20, false, Map.of()), 200);
+  }
+
+  @Test
+  void anEngineThatServesNothingIsSetAside() throws Exception {
+    SimBed b = new SimBed("");
+    b.engine(1, "writer", (x, q, body) -> say(x, 404, "{}"));
+    b.engine(2, "writer", SimBed.WELL);
+    b.start();
+    int served = 0;
+    for (int i = 0; i < 20; i++) {
+      Answer a = b.ask(20 + i);
+      b.run(200);
+      served += a.status == 200 ? 1 : 0;
+    }
+    assertEquals(20, served, "of 20 reqs");
+    assertTrue(of(b, 1, "POST").size() < 8, of(b, 1, "POST").size() + " went to an engine that serves nothing");
+  }
+
+  @Test
+  void aReqAtFaultGetsTheEnginesWordAndCostsNoTrust() throws Exception {
+    SimBed b = bed("", SimBed.WELL, (x, q, body) -> {
+      if (new String(q.body(), java.nio.charset.StandardCharsets.UTF_8).contains("\"draft\"")) {
+        SimBed.write(x, ", \"prompt_tokens_details\": {\"cached_tokens\": 5000}");
+      } else {
+        say(x, 400, "{\"error\": {\"message\": \"too long\"}}");
+      }
+    });
+    over(b, b.ask(REMOTE), 200);
+    b.run(10);
+    Answer bad = b.ask("order", REMOTE, true, Map.of());      // the same session, so that it is read at its writer
+    over(b, bad, 400);
+    assertTrue(bad.text().contains("too long"));
+    Answer again = b.ask(REMOTE);
+    over(b, again, 200);
+    assertEquals("local", again.headers.get("x-gapproxy-path"));
+  }
+
+  @Test
+  void anEngineThatDoesNotTellKeptTokensCostsNoTrust() throws Exception {
+    SimBed b = bed("", SimBed.WELL, (x, q, body) -> SimBed.write(x, ""));
+    for (int turn = 0; turn < 3; turn++) {
+      for (int session = REMOTE; session < REMOTE + 2; session++) {
+        Answer a = b.ask(session);
+        b.run(200);
+        assertEquals(turn == 0 ? "remote" : "local", a.headers.get("x-gapproxy-path"), "turn " + turn + ", session " + session);
+      }
+    }
+  }
+
+  @Test
+  void aStreamThatBreaksEndsWithAnErrorAndNoDone() throws Exception {
+    for (boolean whole : new boolean[] {false, true}) {
+      SimBed b = bed("", SimBed.WELL, (x, q, body) -> stream(x, "data: {\"choices\": [{\"delta\": {\"content\": \"w\"}}]}\n\n"
+          + "data: {\"error\": {\"message\": \"x\"}}\n\n"));
+      Answer a = b.ask("draft", 20, !whole, Map.of());
+      over(b, a, whole ? 502 : 200);
+      assertTrue(a.text().contains("error") && !a.text().contains("[DONE]"), a.text());
+    }
+  }
+
+  @Test
+  void anAnswerThatTakesTooLongIsEnded() throws Exception {
+    SimBed b = bed(", \"limits\": {\"longest_answer_ms\": 3500}", SimBed.WELL, (x, q, body) -> {
+      x.begin(200, Map.of("content-type", "text/event-stream"));
+      drip(x);
+    });
+    Answer a = b.ask(20);
+    b.run(4000);
+    assertTrue(a.ended != null && a.text().contains("error"), "it runs on");
+    assertEquals(0, b.gateway.open());
+  }
+
+  private static void drip(Exchange x) {
+    x.write("data: {\"choices\": [{\"delta\": {\"content\": \"w\"}}]}\n\n");
+  }
+
+  @Test
+  void toolCallsComeWhole() throws Exception {
+    SimBed b = bed("", SimBed.WELL, (x, q, body) -> stream(x,
+        "data: {\"choices\": [{\"delta\": {\"tool_calls\": [{\"index\": 0, \"id\": \"c1\", \"function\": {\"name\": \"f\", \"arguments\": \"{\"}}]}}]}\n\n"
+        + "data: {\"choices\": [{\"delta\": {\"tool_calls\": [{\"index\": 0, \"function\": {\"arguments\": \"}\"}}]}}]}\n\n"
+        + "data: {\"choices\": [{\"delta\": {}, \"finish_reason\": \"tool_calls\"}]}\n\ndata: [DONE]\n\n"));
+    Answer a = b.ask("draft", 20, false, Map.of());
+    over(b, a, 200);
+    assertTrue(a.text().contains("\"name\":\"f\",\"arguments\":\"{}\""), a.text());
+  }
+
+  // ---- lists
+
+  @Test
+  void aListInAFileThatGoesAwayOrIsHalfWrittenStaysInForce() throws Exception {
+    SimBed b = bed("", SimBed.WELL, SimBed.WELL);
+    for (String text : new String[] {"{\"servers\": [{\"id\": 1, ", null, "{\"servers\": 7}", "\u0000"}) {
+      b.file(text);
+      b.run(200);
+      over(b, b.ask(20), 200);
+    }
+    b.file("{\"servers\": []}");
+    b.run(200);
+    over(b, b.ask(20), 503);
+    b.list();
+    b.run(200);
+    over(b, b.ask(20), 200);
+  }
+
+  @Test
+  void changesThatNameAnUnknownKindEndTheUseOfTheServer() throws Exception {
+    SimBed b = bed("", SimBed.WELL, SimBed.WELL);
+    b.file("{\"form\": \"changes\", \"servers\": [{\"id\": 2, \"address\": \"127.0.0.1:1\", \"kind\": \"other\", \"state\": \"draining\"}]}");
+    b.run(200);
+    int before = of(b, 2, "POST").size();
+    over(b, b.ask(20), 503);
+    assertEquals(before, of(b, 2, "POST").size());
+    b.file("{\"form\": \"changes\", \"servers\": [{\"id\": 1, \"address\": \"127.0.0.1:1\", \"kind\": \"reader\", \"state\": \"gone\"}]}");
+    b.run(200);
+    over(b, b.ask(20), 503);
+  }
+
+  @Test
+  void anotherEngineUnderTheNameGetsNothingOfTheOneBefore() throws Exception {
+    SimBed b = bed("", SimBed.WELL, (x, q, body) -> { });     // never answers
+    Answer a = b.ask(20);
+    b.run(100);
+    InetSocketAddress there = b.engine(2, "writer", SimBed.WELL);
+    b.list();
+    b.run(3000);
+    assertTrue(a.ended != null);
+    b.run(20_000);
+    over(b, b.ask(20), 200);
+    assertTrue(there.getPort() > 0 && of(b, 2, "POST").size() >= 2);
+  }
+
+  // ---- clients
+
+  @Test
+  void whatIsNotTakenIsSaidAtOnce() throws Exception {
+    SimBed b = bed(", \"limits\": {\"open_reqs\": 1}, \"resume\": false, \"customers\": [{\"name\": \"c\", \"keys\": [\"k\"]}]", SimBed.WELL, (x, q, body) -> { });
+    Map<String, String> key = Map.of("authorization", "Bearer k");
+    Answer unknown = b.ask(20);
+    Answer first = b.ask("draft", 20, true, key);
+    b.run(100);
+    assertEquals(401, unknown.status);
+    Answer more = b.ask("draft", 20, true, key);
+    Answer goOn = b.post("{\"model\": \"order\", \"continue_final_message\": true, \"messages\": [{\"role\": \"assistant\", \"content\": \"x\"}]}", key);
+    b.run(100);
+    assertEquals(503, more.status);
+    assertEquals(400, goOn.status);
+    boolean[] stopped = new boolean[1];
+    b.gateway.stop(() -> stopped[0] = true);
+    b.run(40_000);
+    assertTrue(first.ended != null && stopped[0]);
+  }
+}
--- /dev/null
+++ b/src/test/java/gapproxy/sim/SimBed.java
@@ -0,0 +1,202 @@
+package gapproxy.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import gapproxy.config.ConfigReader;
+import gapproxy.gateway.Gateway;
+import gapproxy.http.Caps;
+import gapproxy.http.Exchange;
+import gapproxy.http.HttpClient;
+import gapproxy.http.HttpRequest;
+import gapproxy.http.HttpServer;
+import gapproxy.openai.ChatRequest;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/** One real gateway on virtual time among engines that do what a script says. */
+final class SimBed {
+  /** What an engine does with a request; {@code body} is null where there is none. */
+  interface Script {
+    void serve(Exchange x, HttpRequest q, JsonNode body);
+  }
+
+  /** What an engine was asked. */
+  record Asked(Duration at, long engine, HttpRequest q) {
+    boolean chat() {
+      return q.method().equals("POST");
+    }
+
+    boolean reads() {
+      return chat() && new String(q.body(), StandardCharsets.UTF_8).contains("\"do_remote_decode\":true");
+    }
+  }
+
+  static final class Answer {
+    int status;
+    Map<String, String> headers = Map.of();
+    final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    Duration ended;
+    boolean broken;
+
+    String text() {
+      return body.toString(StandardCharsets.UTF_8);
+    }
+  }
+
+  private static final Path LIST = Path.of("servers.json");
+  final Scheduler scheduler = new Scheduler(null);
+  final SimLoop world = new SimLoop(scheduler);
+  private final SimNet net = new SimNet(scheduler, new SplittableRandom(1), "together");
+  private final SimDisk disk = new SimDisk();
+  private final HttpClient clients = new HttpClient(world, net.host("clients", world), Duration.ofSeconds(5));
+  final List<Asked> asked = new ArrayList<>();
+  private final Map<Long, String> lines = new TreeMap<>();
+  final Gateway gateway;
+
+  /** @param more settings beside the usual ones, each with a comma before it */
+  SimBed(String more) throws Exception {
+    gateway = new Gateway(ConfigReader.parse("""
+        {"name": "g", "listen": {"port": 9000}, "groups": [{"name": "draft", "models": ["draft"], "deadline_ms": 3000},
+           {"name": "order", "models": ["order"], "repeat": "non_replayable", "deadline_ms": 3000}],
+         "kinds": [{"name": "reader", "role": "read", "memory_tokens": 250000},
+                   {"name": "writer", "role": "write", "memory_tokens": 200000}],
+         "rules": {"release_within_ms": 1000}, "list": {"file": "servers.json", "look_every_ms": 50}%s}
+        """.formatted(more), "bed"), new SimLoop(scheduler), net.host("g", world), disk, 1);
+  }
+
+  /** An engine that the list names from the start on, or from the next {@link #list} on. */
+  InetSocketAddress engine(long id, String kind, Script script) throws IOException {
+    HttpServer s = HttpServer.open(world, net.host("engine" + id, world), new InetSocketAddress("127.0.0.1", 0), Caps.DEFAULT,
+        new HttpServer.Handler() {
+          @Override
+          public Object decode(HttpRequest q) {
+            return q;
+          }
+
+          @Override
+          public void handle(Exchange x, Object decoded) {
+            asked.add(new Asked(scheduler.now(), id, x.request));
+            if (x.request.path().equals("/metrics")) {
+              x.respond(404, Map.of(), new byte[0]);
+              return;
+            }
+            try {
+              byte[] b = x.request.body();
+              script.serve(x, x.request, b.length == 0 ? null : ChatRequest.JSON.readTree(b));
+            } catch (IOException e) {
+              throw new IllegalStateException(e);
+            }
+          }
+        });
+    line(id, kind, s.address(), "");
+    return s.address();
+  }
+
+  void line(long id, String kind, InetSocketAddress at, String more) {
+    lines.put(id, "{\"id\": " + id + ", \"address\": \"127.0.0.1:" + at.getPort() + "\", \"kind\": \"" + kind + "\"" + more + "}");
+  }
+
+  /** Writes the list as it is now. */
+  void list() {
+    file("{\"epoch\": \"e\", \"servers\": [" + String.join(",", lines.values()) + "]}");
+  }
+
+  void file(String text) {
+    disk.replace(LIST, text == null ? null : text.getBytes(StandardCharsets.UTF_8), world, well -> { });
+  }
+
+  SimBed start() throws IOException {
+    list();
+    run(10);
+    gateway.start();
+    return run(200);
+  }
+
+  SimBed run(long ms) {
+    scheduler.run(scheduler.now().plusMillis(ms), () -> true);
+    return this;
+  }
+
+  /** Sends a chat of so many words; what came of it is filled in as time goes on. */
+  Answer ask(String model, int words, boolean stream, Map<String, String> headers) {
+    String body = "{\"model\": \"" + model + "\", \"stream\": " + stream + ", \"prompt_cache_key\": \"s" + words
+        + "\", \"messages\": [{\"role\": \"user\", \"content\": \"" + "word ".repeat(words) + "\"}]}";
+    return post(body, headers);
+  }
+
+  Answer ask(int words) {
+    return ask("draft", words, true, Map.of());
+  }
+
+  Answer post(String body, Map<String, String> headers) {
+    Map<String, String> h = new HashMap<>(headers);
+    h.put("content-type", "application/json");
+    Answer a = new Answer();
+    clients.call(gateway.address(), "POST", "/v1/chat/completions", h, body.getBytes(StandardCharsets.UTF_8), Duration.ofSeconds(1),
+        new HttpClient.Listener() {
+          @Override
+          public void head(int status, Map<String, String> all) {
+            a.status = status;
+            a.headers = all;
+          }
+
+          @Override
+          public void data(byte[] bytes) {
+            a.body.writeBytes(bytes);
+          }
+
+          @Override
+          public void end() {
+            a.ended = scheduler.now();
+          }
+
+          @Override
+          public void failed(HttpClient.Failure how, String why) {
+            a.ended = scheduler.now();
+            a.broken = true;
+          }
+        });
+    return a;
+  }
+
+  // ---- what well-behaved engines say
+
+  static void read(Exchange x, HttpRequest q) {
+    x.respond(200, Map.of("content-type", "application/json"), ("{\"choices\": [], \"usage\": {\"prompt_tokens\": 9},"
+        + " \"kv_transfer_params\": {\"remote_request_id\": \"" + q.header("x-request-id") + "\"}}").getBytes(StandardCharsets.UTF_8));
+  }
+
+  static void write(Exchange x, String usage) {
+    x.begin(200, Map.of("content-type", "text/event-stream"));
+    x.write("data: {\"choices\": [{\"index\": 0, \"delta\": {\"content\": \"w0\"}, \"finish_reason\": null}]}\n\n");
+    x.write("data: {\"choices\": [], \"usage\": {\"prompt_tokens\": 9, \"completion_tokens\": 1" + usage + "}}\n\ndata: [DONE]\n\n");
+    x.end();
+  }
+
+  static final Script WELL = (x, q, body) -> {
+    if (q.method().equals("DELETE")) {
+      x.respond(204, Map.of(), new byte[0]);
+    } else if (q.method().equals("PUT")) {
+      x.respond(201, Map.of(), new byte[0]);
+    } else if (body.path("kv_transfer_params").path("do_remote_decode").asBoolean()) {
+      read(x, q);
+    } else {
+      write(x, ", \"prompt_tokens_details\": {\"cached_tokens\": 0}");
+    }
+  };
+
+  /** Does something else with the first chats, then well. */
+  static Script first(int times, Script other) {
+    int[] left = {times};
+    return (x, q, body) -> (q.method().equals("POST") && left[0]-- > 0 ? other : WELL).serve(x, q, body);
+  }
+}
