A pooled connection that closes as it is taken fails its call after it, not within it

Seen: by reading, then by a test (NullPointerException in Engines.limited): between the look into the pool and the write the transport's thread may close the connection; the listener then heard of it before the caller had the call. In Gateway.act the exception lost all further actions of that step; in PollSource the ended call was kept as the one that runs, and the list was never asked for again. Ruled out: connects (told by a post). Line at fault: HttpClient.Call.start. Change: the failure is posted.

--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -143,12 +143,12 @@
     }
 
     private void start(Wire w) {
-      wire = w;
-      w.call = this;
-      if (!w.connection.isOpen()) {
-        fail(Failure.NO_CONNECTION, "closed before anything was sent");
+      if (!w.connection.isOpen()) {                           // told later: whoever calls does not have the call yet
+        loop.execute(() -> fail(Failure.NO_CONNECTION, "closed before anything was sent"));
         return;
       }
+      wire = w;
+      w.call = this;
       HttpRequestPacket.Builder b = HttpRequestPacket.builder().method(method).uri(path).protocol("HTTP/1.1")
           .host(to.getHostString() + ":" + to.getPort());
       new TreeMap<>(headers).forEach(b::header);              // the same order on every run
--- a/src/test/java/gapproxy/sim/ErrorPathsTest.java
+++ b/src/test/java/gapproxy/sim/ErrorPathsTest.java
@@ -5,16 +5,33 @@
 
 import gapproxy.config.Config;
 import gapproxy.daemon.Logs;
+import gapproxy.engine.Engines;
+import gapproxy.http.Caps;
 import gapproxy.http.Exchange;
+import gapproxy.http.HttpClient;
+import gapproxy.http.HttpRequest;
+import gapproxy.http.HttpServer;
+import gapproxy.runtime.LiveLoop;
+import gapproxy.runtime.LiveNet;
+import gapproxy.runtime.Net;
 import gapproxy.sim.SimBed.Answer;
 import gapproxy.sim.SimBed.Asked;
 import gapproxy.sim.SimBed.Script;
+import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.Filter;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -307,6 +324,84 @@
     assertTrue(there.getPort() > 0 && of(b, 2, "POST").size() >= 2);
   }
 
+  // ---- connections
+
+  /** A network whose pooled connections close just after they were found open. */
+  private static Net closing(Net net, int[] looks) {
+    return new Net() {
+      @Override
+      public Port listen(InetSocketAddress at, Supplier<List<Filter>> filters) throws IOException {
+        return net.listen(at, filters);
+      }
+
+      @Override
+      public void connect(InetSocketAddress to, Supplier<List<Filter>> filters, Connected then) {
+        net.connect(to, filters, new Connected() {
+          @Override
+          public void open(Connection<?> c) {
+            then.open((Connection<?>) Proxy.newProxyInstance(Connection.class.getClassLoader(), new Class<?>[] {Connection.class},
+                (p, m, args) -> m.getName().equals("isOpen") && looks[0]-- == 0 ? false : m.invoke(c, args)));
+          }
+
+          @Override
+          public void failed(IOException why) {
+            then.failed(why);
+          }
+        });
+      }
+
+      @Override
+      public void reading(Connection<?> connection, boolean on) {
+        net.reading(connection, on);
+      }
+    };
+  }
+
+  @Test
+  void aConnectionThatClosesAsItIsTakenFailsTheCallAfterIt() throws Exception {
+    Scheduler s = new Scheduler(null);
+    SimLoop loop = new SimLoop(s);
+    SimNet net = new SimNet(s, new SplittableRandom(1), "together");
+    int[] looks = {1_000_000};
+    HttpClient http = new HttpClient(loop, closing(net.host("a", loop), looks), Duration.ofSeconds(5));
+    Engines engines = new Engines(http, loop, "g", Duration.ofSeconds(1), Duration.ofSeconds(1));
+    HttpServer at = HttpServer.open(loop, net.host("b", loop), new InetSocketAddress("127.0.0.1", 0), Caps.DEFAULT, new HttpServer.Handler() {
+      @Override
+      public Object decode(HttpRequest q) {
+        return null;
+      }
+
+      @Override
+      public void handle(Exchange x, Object decoded) {
+        say(x, 200, "");
+      }
+    });
+    List<String> told = new ArrayList<>();
+    engines.release(at.address(), "x", Duration.ofSeconds(1), (well, any) -> told.add("first " + well));
+    s.run(Duration.ofMillis(100), () -> true);
+    looks[0] = 1;                                             // open as it is found, closed as it is written to
+    engines.release(at.address(), "x", Duration.ofSeconds(1), (well, any) -> told.add("second " + well));
+    assertEquals(List.of("first true"), told, "told before the call was there");
+    s.run(Duration.ofMillis(200), () -> true);
+    assertEquals(List.of("first true", "second false"), told);
+  }
+
+  @Test
+  void aNameThatNobodyKnowsIsNoConnection() throws Exception {
+    try (LiveLoop loop = new LiveLoop("t"); LiveNet net = new LiveNet("t", 1)) {
+      CompletableFuture<String> told = new CompletableFuture<>();
+      loop.execute(() -> {
+        try {
+          new Engines(new HttpClient(loop, net, Duration.ofSeconds(1)), loop, "g", Duration.ofSeconds(5), Duration.ofSeconds(5))
+              .probe(InetSocketAddress.createUnresolved("nowhere.invalid", 9), (report, how) -> told.complete(how.kind().name()));
+        } catch (RuntimeException e) {
+          told.complete("thrown: " + e);
+        }
+      });
+      assertEquals("NO_CONNECTION", told.get(10, TimeUnit.SECONDS));
+    }
+  }
+
   // ---- clients
 
   @Test
