A forward names its path, chosen by the decisions alone; what no decision reads is gone

Found by reading: Gateway.forward chose local or with-state from its own r.state beside Rules' stateAt. The path now comes with the action; a state that is missing ends as full without state, one given up is freed. Idle and removed: the answer to a hold (no decision reads it), the server of first tokens and ends, tokens of alarms and wakes, the resumed mark of a req, a class of empty methods (audit.Silent).

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -132,7 +132,7 @@
 
   private void beat() {
     nextBeat = now.plus(BEAT);
-    out.add(new Action.Alarm(nextBeat, 0));
+    out.add(new Action.Alarm(nextBeat));
     if (askAgain != null && now.compareTo(askAgain) >= 0) {
       out.add(new Action.Subscribe());
       askAgain = null;
@@ -616,7 +616,8 @@
     t.toRead = read || t.local ? r.in.prompt() - t.believed : 0;
     r.tries.add(t);
     r.running++;
-    out.add(new Action.Forward(r.in.req(), s.id, least(timeOut, r.left().minus(set.tick()))));
+    Action.Path path = t.harmless ? Action.Path.READ : t.local || read ? Action.Path.LOCAL : Action.Path.WRITE;
+    out.add(new Action.Forward(r.in.req(), s.id, path, least(timeOut, r.left().minus(set.tick()))));
     mail.post(s, new Note.Sent(t));
   }
 
@@ -706,7 +707,7 @@
       } else {
         planAt = now.plus(least(ASK_WAIT, left().dividedBy(4)));
         asking.add(this);
-        out.add(new Action.Alarm(planAt, 0));
+        out.add(new Action.Alarm(planAt));
       }
     }
 
--- a/src/main/java/gapproxy/Try.java
+++ b/src/main/java/gapproxy/Try.java
@@ -12,7 +12,7 @@
   final Event.Line line;                                      // of that server, as it was at the send
   final int number;
   final boolean read;
-  private final boolean harmless;                             // at what was a reader then
+  final boolean harmless;                                     // at what was a reader then
   final double weight;                                        // tokens that it holds at a writer
   final Duration sentAt;
   double believed, toRead, unread;
--- a/src/main/java/gapproxy/api/Action.java
+++ b/src/main/java/gapproxy/api/Action.java
@@ -5,8 +5,11 @@
 /** What a gateway does. */
 public sealed interface Action {
 
+  /** What a forward asks for: the prompt read for another server, an answer from the state that waits, or both at one server. */
+  enum Path { READ, WRITE, LOCAL }
+
   /** Sends a req to a server; its forwards are numbered from 0. */
-  record Forward(long req, long server, Duration timeOut) implements Action {}
+  record Forward(long req, long server, Path path, Duration timeOut) implements Action {}
 
   /** Holds a place at a writer while the prompt is read elsewhere. */
   record Hold(long req, long server) implements Action {}
@@ -23,7 +26,7 @@
 
   record Probe(long server) implements Action {}
 
-  record Alarm(Duration at, long token) implements Action {}
+  record Alarm(Duration at) implements Action {}
 
   record Subscribe() implements Action {}
 }
--- a/src/main/java/gapproxy/api/Event.java
+++ b/src/main/java/gapproxy/api/Event.java
@@ -22,10 +22,10 @@
 
   /** A req taken from a client; {@code session} and {@code shared} are 0 where there is none. */
   record Accept(long req, int group, int customer, long session, Duration budget, long shared,
-      double prompt, double sharedPart, double maxAnswer, boolean resumed) implements Event {}
+      double prompt, double sharedPart, double maxAnswer) implements Event {}
 
   /** The answer has begun; from here on the forward belongs to the client. */
-  record FirstToken(long req, int forward, Duration took, long server) implements OfReq {}
+  record FirstToken(long req, int forward, Duration took) implements OfReq {}
 
   enum Outcome {
     DONE, ERROR, FULL, TIMED_OUT, NO_CONNECTION, BROKEN, CANCELLED, NOT_SENT, READ;
@@ -37,15 +37,13 @@
   }
 
   /** How a forward ended; {@code note} is kept tokens, -1 where that is not told, or 1 with FULL where there was no state. */
-  record Ended(long req, int forward, Outcome outcome, long server, long note, boolean closed,
+  record Ended(long req, int forward, Outcome outcome, long note, boolean closed,
       Duration took, double[] report) implements OfReq {}
 
   record HungUp(long req) implements OfReq {}
 
-  /** The answer to a hold given with a read. */
-  record Held(long req, int forward, long server, boolean held) implements OfReq {}
-
-  record Wake(long token) implements Event {}
+  /** An alarm is due; which one says nothing. */
+  record Wake() implements Event {}
 
   record Probed(long server, Outcome outcome, Duration took, double[] report) implements Event {}
 }
--- a/src/main/java/gapproxy/audit/Traffic.java
+++ b/src/main/java/gapproxy/audit/Traffic.java
@@ -16,41 +16,41 @@
    * @param tryNumber its first try or a repeat of it, from 0
    * @param repeat what may be done with it: replayable, keyed or non_replayable
    */
-  void asked(Duration at, String req, int tryNumber, String gateway, String repeat, Duration budget);
+  default void asked(Duration at, String req, int tryNumber, String gateway, String repeat, Duration budget) {}
 
   /** A client has got a final answer. */
-  void answered(Duration at, String req, int tryNumber, Answer how);
+  default void answered(Duration at, String req, int tryNumber, Answer how) {}
 
   /** Something came for a req that had its final answer. */
-  void after(Duration at, String req, int tryNumber, String what);
+  default void after(Duration at, String req, int tryNumber, String what) {}
 
   /** A client hung up, or its connection ended without a final answer. */
-  void left(Duration at, String req, int tryNumber, Left how);
+  default void left(Duration at, String req, int tryNumber, Left how) {}
 
   /** The first token has come to a client. */
-  void firstToken(Duration at, String req, int tryNumber);
+  default void firstToken(Duration at, String req, int tryNumber) {}
 
   /** A forward has come to an engine. */
-  void forward(Duration at, long engine, String gateway, String req, String id, boolean read);
+  default void forward(Duration at, long engine, String gateway, String req, String id, boolean read) {}
 
   /** An engine has begun to do what a forward asks in a way that has an effect. */
-  void ran(Duration at, long engine, String req, String id, String key);
+  default void ran(Duration at, long engine, String req, String id, String key) {}
 
   /** A forward has ended at an engine, whatever came of it. */
-  void ended(Duration at, long engine, String id);
+  default void ended(Duration at, long engine, String id) {}
 
   /** An engine holds a state or a place. */
-  void holds(Duration at, long engine, String req, String id);
+  default void holds(Duration at, long engine, String req, String id) {}
 
   /** It holds it no longer. */
-  void freed(Duration at, long engine, String id, boolean taken);
+  default void freed(Duration at, long engine, String id, boolean taken) {}
 
   /** A gateway was told what the list says of a server. */
-  void told(Duration at, String gateway, long engine, boolean usable);
+  default void told(Duration at, String gateway, long engine, boolean usable) {}
 
   /** A gateway's process has begun or has ended. */
-  void gateway(Duration at, String gateway, boolean up);
+  default void gateway(Duration at, String gateway, boolean up) {}
 
   /** A server that had just started was given too much and fell over. */
-  void tipped(Duration at, long engine, String why);
+  default void tipped(Duration at, long engine, String why) {}
 }
--- a/src/main/java/gapproxy/benchlink/BenchLink.java
+++ b/src/main/java/gapproxy/benchlink/BenchLink.java
@@ -125,24 +125,23 @@
         long session = f.u64();
         Duration budget = micros(f.u32());
         f.u32();
-        yield new Event.Accept(req, group, customer, session, budget, f.u64(), f.f32(), f.f32(), f.f32(),
-            (f.u8() & 16) != 0);
+        yield new Event.Accept(req, group, customer, session, budget, f.u64(), f.f32(), f.f32(), f.f32());
       }
-      case 19 -> new Event.FirstToken(f.u64(), f.u8(), micros(f.u32()), f.u32());
+      case 19 -> new Event.FirstToken(f.u64(), f.u8(), micros(f.u32()));
       case 20 -> {
         long req = f.u64();
         int forward = f.u8();
         Event.Outcome outcome = outcome(f.u16());
-        yield new Event.Ended(req, forward, outcome, f.u32(), f.u32(), f.u8() != 0, micros(f.u32()), f.report());
+        f.u32();
+        yield new Event.Ended(req, forward, outcome, f.u32(), f.u8() != 0, micros(f.u32()), f.report());
       }
       case 21 -> new Event.HungUp(f.u64());
-      case 22 -> new Event.Wake(f.u64());
+      case 22 -> new Event.Wake();
       case 23 -> {
         long server = f.u32();
         Event.Outcome outcome = outcome(f.u16());
         yield new Event.Probed(server, outcome, micros(f.u32()), f.report());
       }
-      case 26 -> new Event.Held(f.u64(), f.u8(), f.u32(), f.u8() == 1);
       default -> null;
     };
   }
--- a/src/main/java/gapproxy/benchlink/Reply.java
+++ b/src/main/java/gapproxy/benchlink/Reply.java
@@ -18,7 +18,7 @@
     } else if (action instanceof Action.Cancel a) {
       head(83, 13, instance).putLong(a.req()).put((byte) a.forward());
     } else if (action instanceof Action.Alarm a) {
-      head(84, 20, instance).putLong(origin + micros(a.at())).putLong(a.token());
+      head(84, 20, instance).putLong(origin + micros(a.at())).putLong(0);
     } else if (action instanceof Action.Probe a) {
       head(85, 8, instance).putInt((int) a.server());
     } else if (action instanceof Action.Subscribe) {
--- a/src/main/java/gapproxy/cli/StandinCommand.java
+++ b/src/main/java/gapproxy/cli/StandinCommand.java
@@ -1,6 +1,6 @@
 package gapproxy.cli;
 
-import gapproxy.audit.Silent;
+import gapproxy.audit.Traffic;
 import gapproxy.config.Config;
 import gapproxy.daemon.Logs;
 import gapproxy.runtime.LiveLoop;
@@ -36,7 +36,7 @@
     IOException[] failed = new IOException[1];
     loop.call(() -> {
       try {
-        Fleet f = new Fleet(new Fleet.Size(zones, 1, readers, writers, 1), loop, net, new Silent(), 1,
+        Fleet f = new Fleet(new Fleet.Size(zones, 1, readers, writers, 1), loop, net, new Traffic() {}, 1,
             "standin" + loop.wall().toEpochMilli());
         Exit.onSignal(() -> loop.call(f::close));
         System.out.println("list http://127.0.0.1:" + f.list.address().getPort() + "/v1/servers");
--- a/src/main/java/gapproxy/daemon/Demo.java
+++ b/src/main/java/gapproxy/daemon/Demo.java
@@ -1,6 +1,6 @@
 package gapproxy.daemon;
 
-import gapproxy.audit.Silent;
+import gapproxy.audit.Traffic;
 import gapproxy.config.Config;
 import gapproxy.config.ConfigErrors;
 import gapproxy.config.ConfigReader;
@@ -23,7 +23,7 @@
     IOException[] failed = new IOException[1];
     world.call(() -> {
       try {
-        made[0] = new Fleet(Fleet.Size.DEMO, world, net, new Silent(), 1, "demo");
+        made[0] = new Fleet(Fleet.Size.DEMO, world, net, new Traffic() {}, 1, "demo");
       } catch (IOException e) {
         failed[0] = e;
       }
--- a/src/main/java/gapproxy/day/Overhead.java
+++ b/src/main/java/gapproxy/day/Overhead.java
@@ -1,6 +1,6 @@
 package gapproxy.day;
 
-import gapproxy.audit.Silent;
+import gapproxy.audit.Traffic;
 import gapproxy.http.EventStream;
 import gapproxy.http.HttpClient;
 import gapproxy.list.ServerList;
@@ -65,12 +65,12 @@
     IOException[] failed = new IOException[1];
     engineLoop.call(() -> {
       try {
-        list = new ListService(engineLoop, new Silent(), "overhead");
+        list = new ListService(engineLoop, new Traffic() {}, "overhead");
         list.start(net, ANY);
         for (long id = 1; id <= WRITERS; id++) {
           Engine e = new Engine(new Engine.Spec(id, "zone0", "cell0", "writer", "write", 100_000, 100_000,
               Integer.MAX_VALUE / 2, 1e7, Duration.ofMillis(10), 1, Duration.ofMillis(1), 1e6, 100, Duration.ofSeconds(1)),
-              engineLoop, net, ANY, engines, chance.split(), new Silent());
+              engineLoop, net, ANY, engines, chance.split(), new Traffic() {});
           e.start(false);
           list.set(e.entry(ServerList.State.READY));
           direct.add(e.address());
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -8,7 +8,6 @@
 import gapproxy.api.Action;
 import gapproxy.api.Event;
 import gapproxy.api.Event.Outcome;
-import gapproxy.api.Settings.Role;
 import gapproxy.config.Config;
 import gapproxy.engine.Engines;
 import gapproxy.engine.Verdict;
@@ -171,7 +170,7 @@
   }
 
   private void follow() {
-    pending.add(new Event.Wake(0));                           // the first beat of the decisions
+    pending.add(new Event.Wake());                            // the first beat of the decisions
     if (config.list().file() != null) {
       source.subscribe();
     }
@@ -292,12 +291,12 @@
     Duration waited = r == null ? Duration.ZERO : stepped.minus(r.taken);
     Duration left = waited.compareTo(a.budget()) < 0 ? a.budget().minus(waited) : Duration.ZERO;
     return new Event.Accept(a.req(), a.group(), a.customer(), a.session(), left, a.shared(), a.prompt(), a.sharedPart(),
-        a.maxAnswer(), a.resumed());
+        a.maxAnswer());
   }
 
   private void act(Action a) {
     if (a instanceof Action.Alarm x) {
-      loop.after(x.at().minus(loop.now()), () -> pending.add(new Event.Wake(x.token())));
+      loop.after(x.at().minus(loop.now()), () -> pending.add(new Event.Wake()));
     } else if (a instanceof Action.Probe x) {
       probe(x.server());
     } else if (a instanceof Action.Subscribe) {
@@ -346,24 +345,25 @@
       return;
     }
     Fleet.Server s = fleet.get(a.server());
-    Req.Kind kind = s.role() == Role.READ ? Req.Kind.READ : r.state != null ? Req.Kind.WRITE : Req.Kind.LOCAL;
-    Req.Forward f = new Req.Forward(r, s, kind, loop.now());
+    Req.Forward f = new Req.Forward(r, s, a.path(), loop.now());
     r.forwards.add(f);
     counts.forwards++;
     if (r.answered) {                                         // its client left while the decisions were made
       end(f, Outcome.NOT_SENT, 0, "already answered");
       return;
     }
-    if (kind == Req.Kind.LOCAL && s.role() == Role.WRITE && !config.writersRead()) {
+    if (a.path() == Action.Path.WRITE && r.state == null) {
       end(f, Outcome.FULL, 1, "no state to fetch");           // it went with an earlier forward
       return;
+    } else if (a.path() == Action.Path.LOCAL) {
+      freeState(r);                                           // the decisions have given it up
     }
     f.limit = loop.after(a.timeOut().minus(loop.now().minus(stepped)), () -> {
       if (!f.begun) {
         end(f, Outcome.TIMED_OUT, 0, "no answer within " + a.timeOut().toMillis() + " ms");
       }
     });
-    if (kind == Req.Kind.READ) {
+    if (a.path() == Action.Path.READ) {
       f.call = engines.read(s.address(), f.id, r.key, r.chat, new Engines.Reading() {
         @Override
         public void read(JsonNode transfer, long kept, long prompt) {
@@ -488,7 +488,7 @@
           () -> broken(f, Outcome.TIMED_OUT, "the answer took longer than the settings allow"));
       r.exchange.begin(200, headers(r, "text/event-stream"));
     }
-    pending.add(new Event.FirstToken(r.number, f.number, loop.now().minus(f.sent), f.at.id()));
+    pending.add(new Event.FirstToken(r.number, f.number, loop.now().minus(f.sent)));
   }
 
   /** Guards against an engine that falls silent in the midst of an answer; a client that reads slowly is not its fault. */
@@ -585,7 +585,7 @@
       return;
     }
     Req r = f.req;
-    watcher.accept(r.stage().name(), f.kind.name().toLowerCase(Locale.ROOT) + " ended " + how.name().toLowerCase(Locale.ROOT));
+    watcher.accept(r.stage().name(), f.path.name().toLowerCase(Locale.ROOT) + " ended " + how.name().toLowerCase(Locale.ROOT));
     f.how = how;
     f.why = why;
     if (f.limit != null) {
@@ -594,11 +594,11 @@
     if (f.call != null && (how == Outcome.CANCELLED || how == Outcome.TIMED_OUT)) {
       f.call.cancel();
     }
-    if (f.kind == Req.Kind.READ && how != Outcome.READ && how != Outcome.NOT_SENT && how != Outcome.NO_CONNECTION
+    if (f.path == Action.Path.READ && how != Outcome.READ && how != Outcome.NOT_SENT && how != Outcome.NO_CONNECTION
         && how != Outcome.FULL) {
       held.freeLater(f.at.address(), f.id);                   // it may have been read all the same
     }
-    pending.add(new Event.Ended(r.number, f.number, how, f.at.id(), note, r.answered, loop.now().minus(f.sent),
+    pending.add(new Event.Ended(r.number, f.number, how, note, r.answered, loop.now().minus(f.sent),
         new double[0]));
     settle(r);
   }
@@ -623,7 +623,6 @@
     leave(r);
     Req.Place p = new Req.Place(s, r.name + "-p" + r.forwards.size());
     r.place = p;
-    int forward = r.forwards.size() - 1;
     engines.hold(s.address(), p.id(), r.prompt, Config.span(config.rules().releaseWithinMs()), (well, sure) -> {
       boolean wanted = r.place == p;
       if (wanted && !well) {
@@ -635,9 +634,6 @@
         held.free(s.address(), p.id());                       // given up, or its stream begun, before it was held
       }
       watcher.accept(r.stage().name(), well ? "place held" : "place refused");
-      if (forward >= 0 && r.forwards.get(forward).out()) {
-        pending.add(new Event.Held(r.number, forward, s.id(), well));
-      }
     });
   }
 
@@ -658,11 +654,11 @@
 
   /** Lets go of the state and the place, but for a state that a running forward fetches. */
   private void drop(Req r) {
-    boolean fetching = r.forwards.stream().anyMatch(f -> f.out() && f.kind == Req.Kind.WRITE);
+    boolean fetching = r.forwards.stream().anyMatch(f -> f.out() && f.path == Action.Path.WRITE);
     if (!fetching) {
       freeState(r);
     }
-    if (!r.forwards.stream().anyMatch(f -> f.out() && f.kind != Req.Kind.READ)) {
+    if (!r.forwards.stream().anyMatch(f -> f.out() && f.path != Action.Path.READ)) {
       leave(r);
     }
   }
@@ -897,7 +893,7 @@
       double most = chat.maxAnswer() > 0 ? chat.maxAnswer() : Integer.MAX_VALUE;
       pending.add(new Event.Accept(number, g, customer, chat.session() == null ? 0 : hash(customer + "/" + chat.session()),
           budget, chat.shared().isEmpty() ? 0 : hash(chat.shared()), prompt,
-          Math.min(prompt, chat.sharedPart() * ratio), most, chat.resumed()));
+          Math.min(prompt, chat.sharedPart() * ratio), most));
     }
 
     private void models(Exchange x) {
--- a/src/main/java/gapproxy/gateway/Req.java
+++ b/src/main/java/gapproxy/gateway/Req.java
@@ -1,6 +1,7 @@
 package gapproxy.gateway;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import gapproxy.api.Action.Path;
 import gapproxy.api.Event.Outcome;
 import gapproxy.config.Config;
 import gapproxy.http.Exchange;
@@ -13,14 +14,12 @@
 
 /** One req in hand: what came, what is out for it, what is held for it. */
 final class Req {
-  enum Kind { READ, WRITE, LOCAL }
-
   /** One forward. */
   static final class Forward {
     final Req req;
     final int number;
     final Fleet.Server at;
-    final Kind kind;
+    final Path path;
     final String id;                                          // what the engine knows it by
     final Duration sent;
     HttpClient.Call call;
@@ -32,11 +31,11 @@
     long kept = -1;                                           // not told
     String why = "";
 
-    Forward(Req req, Fleet.Server at, Kind kind, Duration sent) {
+    Forward(Req req, Fleet.Server at, Path path, Duration sent) {
       this.req = req;
       this.number = req.forwards.size();
       this.at = at;
-      this.kind = kind;
+      this.path = path;
       this.id = req.name + "-" + number;
       this.sent = sent;
     }
@@ -93,7 +92,7 @@
       return Stage.ANSWERED;
     } else if (begun != null) {
       return Stage.STREAMING;
-    } else if (forwards.stream().anyMatch(f -> f.out() && f.kind != Kind.READ)) {
+    } else if (forwards.stream().anyMatch(f -> f.out() && f.path != Path.READ)) {
       return Stage.WRITING;
     } else if (anyOut()) {
       return Stage.READING;
@@ -104,8 +103,8 @@
   /** How its prompt was read, as clients and logs see it. */
   String path() {
     for (int i = forwards.size() - 1; i >= 0; i--) {
-      if (forwards.get(i).kind != Kind.READ) {
-        return forwards.get(i).kind == Kind.LOCAL ? "local" : "remote";
+      if (forwards.get(i).path != Path.READ) {
+        return forwards.get(i).path == Path.LOCAL ? "local" : "remote";
       }
     }
     return forwards.isEmpty() ? "none" : "remote";
--- a/src/test/java/gapproxy/RulesDrive.java
+++ b/src/test/java/gapproxy/RulesDrive.java
@@ -109,7 +109,7 @@
     }
     for (World w : gateways) {
       w.now = now;
-      w.step(new Event.Wake(0));
+      w.step(new Event.Wake());
       hear(w);
       if (chance.nextInt(8) == 0) {
         w.accept(chance.nextInt(3), 1 + chance.nextInt(40), chance.nextInt(4), 200 + chance.nextInt(6000), 150,
--- a/src/test/java/gapproxy/RulesTest.java
+++ b/src/test/java/gapproxy/RulesTest.java
@@ -187,7 +187,7 @@
     World w = grown(150, 1, Settings.Source.BY_PROBE, 4);
     for (int i = 0; i < 30; i++) {
       w.now = w.now.plus(World.ms(100));
-      w.step(new Event.Wake(0));
+      w.step(new Event.Wake());
       assertTrue(w.last.stream().noneMatch(a -> a instanceof Action.Probe), "probed with nothing to send");
     }
     Job j = w.accept(0, 1, 0, 4000, 0, BUDGET);
@@ -199,7 +199,7 @@
     w.now = w.now.plus(World.ms(1000));
     Job unanswered = w.accept(0, 2, 0, 4000, 0, BUDGET);
     w.now = w.now.plus(World.ms(40));
-    w.step(new Event.Wake(0));
+    w.step(new Event.Wake());
     assertEquals(1, unanswered.forwards.size());
   }
 
@@ -277,7 +277,7 @@
     boolean back = false;
     for (int i = 0; i < 200 && !back; i++) {
       w.now = w.now.plus(World.ms(100));
-      w.step(new Event.Wake(0));
+      w.step(new Event.Wake());
       if (w.last.contains(new Action.Probe(bad))) {
         w.step(new Event.Probed(bad, Outcome.DONE, World.ms(1), new double[0]));
       }
@@ -296,7 +296,7 @@
     boolean back = false;
     for (int i = 0; i < 400 && !back; i++) {
       w.now = w.now.plus(World.ms(50));
-      w.step(new Event.Wake(0));
+      w.step(new Event.Wake());
       if (w.last.contains(new Action.Probe(bad))) {
         w.step(new Event.Probed(bad, Outcome.DONE, World.ms(1), new double[0]));
       }
@@ -375,9 +375,9 @@
   @Test
   void eventsOfNothingKnownAreIgnored() {
     World w = ready();
-    w.step(new Event.HungUp(99), new Event.FirstToken(99, 0, World.ms(1), 5),
-        new Event.Ended(99, 3, Outcome.DONE, 5, 0, true, World.ms(1), new double[0]),
-        new Event.Probed(12345, Outcome.DONE, World.ms(1), new double[0]), new Event.Held(99, 0, 1, true));
+    w.step(new Event.HungUp(99), new Event.FirstToken(99, 0, World.ms(1)),
+        new Event.Ended(99, 3, Outcome.DONE, 0, true, World.ms(1), new double[0]),
+        new Event.Probed(12345, Outcome.DONE, World.ms(1), new double[0]));
     assertTrue(w.last.stream().noneMatch(a -> !(a instanceof Action.Alarm)));
   }
 
@@ -392,7 +392,7 @@
 
   private static void at(World w, long ms) {
     w.now = World.ms(ms);
-    w.step(new Event.Wake(0));
+    w.step(new Event.Wake());
   }
 
   @Test
--- a/src/test/java/gapproxy/World.java
+++ b/src/test/java/gapproxy/World.java
@@ -170,7 +170,7 @@
 
   Job accept(int group, long session, long shared, double prompt, double sharedPart, Duration budget) {
     Job j = new Job();
-    j.in = new Event.Accept(nextReq++, group, 0, session, budget, shared, prompt, sharedPart, 300, false);
+    j.in = new Event.Accept(nextReq++, group, 0, session, budget, shared, prompt, sharedPart, 300);
     jobs.put(j.in.req(), j);
     Settings.EndpointGroup g = set.groups().get(group);
     model.taken(now, id(j.in.req()), budget);
@@ -207,7 +207,7 @@
       model.freed(now, id, "state");
     }
     model.in(now, id);
-    step(new Event.Ended(f.req, f.number, how, f.server, note, j.ended, now.minus(f.sentAt), new double[0]));
+    step(new Event.Ended(f.req, f.number, how, note, j.ended, now.minus(f.sentAt), new double[0]));
   }
 
   void begin(Fwd f) {
@@ -215,7 +215,7 @@
     jobs.get(f.req).stateAt = -1;
     model.began(now, id(f.req));
     model.allFreed(id(f.req));
-    step(new Event.FirstToken(f.req, f.number, now.minus(f.sentAt), f.server));
+    step(new Event.FirstToken(f.req, f.number, now.minus(f.sentAt)));
   }
 
   void step(Event... events) {
