--- a/src/main/java/gapproxy/sim/Plan.java
+++ b/src/main/java/gapproxy/sim/Plan.java
@@ -16,7 +16,7 @@
 
 /** What there is in a run and what goes wrong in it: drawn from a seed, or written down. */
 public record Plan(String about, long seed, int gateways, int zones, int readers, int writers, double pace, double rate,
-    boolean shuffle, String bytes, List<Fault> faults) {
+    boolean shuffle, String bytes, boolean holds, String scope, List<Fault> faults) {
 
   /**
    * One thing that goes wrong.
@@ -33,7 +33,8 @@
       "resets", "slow handshake", "engine drains", "texts forgotten", "states lost", "site cut", "list late", "list fails",
       "gateway dies", "gateway stands still", "slow network", "burst",
       "one-way cut", "connects hang", "narrow network", "clock jumps", "reports late", "reports wrong", "list lost", "list old",
-      "drains in waves", "torn list", "retries at once", "hang-ups", "memory full");
+      "drains in waves", "torn list", "retries at once", "hang-ups", "memory full", "engine full", "transfers fail", "engine replaced");
+  private static final int DRAWN = 30;                        // by seeds; further kinds would change what each seed means
   private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
 
   /** The plan of a seed: up to four faults that may overlap. */
@@ -43,13 +44,13 @@
     int n = chance.nextInt(5);
     for (int i = 0; i < n; i++) {
       int most = chance.nextInt(3) == 0 ? 200 : 2500;         // what is short finds the decisions as they were before
-      faults.add(new Fault(KINDS.get(chance.nextInt(KINDS.size())), 300 + chance.nextInt(5000), 20 + chance.nextInt(most),
+      faults.add(new Fault(KINDS.get(chance.nextInt(DRAWN)), 300 + chance.nextInt(5000), 20 + chance.nextInt(most),
           chance.nextInt(1000), chance.nextDouble(), ""));
     }
     String[] bytes = {"mixed", "mixed", "mixed", "single", "together"};
     return new Plan("", seed, 1 + chance.nextInt(3), 1 + chance.nextInt(2), chance.nextInt(3), 1 + chance.nextInt(3),
         chance.nextInt(3) == 0 ? 0.15 : 1, 4 + chance.nextInt(12), chance.nextInt(3) == 0, bytes[chance.nextInt(bytes.length)],
-        List.copyOf(faults));
+        false, "all", List.copyOf(faults));
   }
 
   /** The plan of a seed with one more fault, which waits for a req at a stage: how the generator is steered. */
@@ -59,7 +60,7 @@
     List<Fault> all = new ArrayList<>(p.faults);
     all.add(new Fault(kind, 300 + chance.nextInt(3000), 20 + chance.nextInt(2500), chance.nextInt(1000), chance.nextDouble(), stage));
     return new Plan("aimed at " + kind + " while " + stage, seed, p.gateways, p.zones, Math.max(1, p.readers), p.writers, p.pace, p.rate,
-        p.shuffle, p.bytes, List.copyOf(all));
+        p.shuffle, p.bytes, p.holds, p.scope, List.copyOf(all));
   }
 
   /** @throws ConfigErrors if it is not a valid plan; every error with its place */
@@ -83,7 +84,7 @@
   }
 
   private Plan with(int moreGateways, int z, int r, List<Fault> f) {
-    return new Plan(about, seed, moreGateways, z, r, writers, pace, rate, shuffle, bytes, List.copyOf(f));
+    return new Plan(about, seed, moreGateways, z, r, writers, pace, rate, shuffle, bytes, holds, scope, List.copyOf(f));
   }
 
   /** Plans a little smaller than this one, the largest steps first. */
--- a/src/main/java/gapproxy/sim/Scene.java
+++ b/src/main/java/gapproxy/sim/Scene.java
@@ -23,6 +23,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.UnaryOperator;
 
 /**
  * What a plan asks for, on any ground: gateways, engines, list and clients, with faults at their times. Rules are judged by the traffic as it
@@ -73,14 +74,15 @@
   /**
    * @param chance draws the traffic
    * @param told whether a timeline is kept
+   * @param ear puts a listener of its own before those that are there
    */
-  Scene(Plan plan, Ground ground, SplittableRandom chance, boolean told) {
+  Scene(Plan plan, Ground ground, SplittableRandom chance, boolean told, UnaryOperator<Traffic> ear) {
     this.plan = plan;
     this.ground = ground;
     this.chance = chance;
     loop = ground.loop();
     sequence = told ? new Sequence(loop::now) : null;
-    traffic = told ? sequence.over(audit) : audit;
+    traffic = ear.apply(told ? sequence.over(audit) : audit);
   }
 
   /** A scene on other ground than the simulation's; its traffic is drawn as there. */
@@ -90,7 +92,7 @@
         throw new IllegalArgumentException("the fault \"" + f.kind() + "\" can't be played here" + (f.when().isEmpty() ? "" : " at a stage"));
       }
     }
-    return new Scene(plan, ground, new SplittableRandom(plan.seed()).split(), false);
+    return new Scene(plan, ground, new SplittableRandom(plan.seed()).split(), false, UnaryOperator.identity());
   }
 
   private void tell(String at, String what) {
@@ -192,7 +194,7 @@
   private void up(Slot s) throws IOException {
     traffic.gateway(loop.now(), s.name, true);
     int zone = s.number % plan.zones();
-    Config c = CONFIGS.computeIfAbsent(s.name + "/" + plan.zones() + "/" + plan.gateways() + "/" + ground.stateDir() + "/" + fleet.list.address().getPort(),
+    Config c = CONFIGS.computeIfAbsent(s.name + "/" + plan.zones() + "/" + plan.gateways() + "/" + ground.stateDir() + "/" + plan.holds() + plan.scope() + "/" + fleet.list.address().getPort(),
         k -> config(s, zone, plan.zones(), plan.gateways()));
     s.gateway = ground.start(c, chance.nextLong(), (stage, event) -> coverage.merge(stage + " / " + event, 1L, Long::sum));
     s.at = s.gateway.address();
@@ -202,16 +204,16 @@
     String text = """
         {"name": "%s", "listen": {"port": %d}, "zones": [%s], "zone": "zone%d", "gateways": %d, "state_dir": "%s",
          "groups": [{"name": "draft", "models": ["draft"], "importance": 3, "response_target_ms": 1500, "deadline_ms": 3000},
-           {"name": "tweak", "models": ["tweak"], "repeat": "keyed", "window_ms": 10000, "deadline_ms": 3000},
+           {"name": "tweak", "models": ["tweak"], "repeat": "keyed", "scope": "%s", "window_ms": 10000, "deadline_ms": 3000},
            {"name": "order", "models": ["order"], "repeat": "non_replayable", "deadline_ms": 3000}],
          "kinds": [{"name": "reader", "role": "read", "memory_tokens": 250000},
                    {"name": "writer", "role": "write", "memory_tokens": 200000}],
-         "rules": {"drain_grace_ms": 500, "release_within_ms": 1000, "cold": {"least_capacity": 0.3, "warm_within_ms": 4000,
+         "hold_ahead": %s, "rules": {"drain_grace_ms": 500, "release_within_ms": 1000, "cold": {"least_capacity": 0.3, "warm_within_ms": 4000,
                    "tip_multiple": 4, "tip_span_ms": 1000}},
          "list": {"url": "http://127.0.0.1:%d/v1/servers", "wait_ms": 1000, "ask_within_ms": 800},
          "limits": {"token_gap_ms": 2000}}
         """.formatted(s.name, ground.port(s.number), zones == 1 ? "\"zone0\"" : "\"zone0\", \"zone1\"", zone, gateways, ground.stateDir().toString().replace("\\", "/"),
-        fleet.list.address().getPort());
+        plan.scope(), plan.holds(), fleet.list.address().getPort());
     try {
       return ConfigReader.parse(text, s.name);
     } catch (ConfigErrors e) {
@@ -316,6 +318,9 @@
       case "engine drains" -> fleet.say(e, ServerList.State.DRAINING);
       case "texts forgotten" -> e.flush();
       case "states lost" -> e.lose();
+      case "engine full" -> e.faults.full = true;
+      case "transfers fail" -> all.forEach(x -> x.faults.unfetchable = true);
+      case "engine replaced" -> fleet.replace(e);
       case "site cut" -> fleet.engines().stream().filter(x -> x.spec.zone().equals("zone0")).forEach(x -> {
         x.faults.cutOff = java.util.Set.copyOf(slots.stream().filter(s -> plan.zones() == 1 || !s.name.equals("g0")).map(s -> s.name).toList());
         audit.deaf(loop.now(), x.spec.id(), true);
@@ -377,6 +382,8 @@
         audit.deaf(loop.now(), e.spec.id(), false);
       }
       case "engine slow" -> e.faults.slow = 1;
+      case "engine full" -> e.faults.full = false;
+      case "transfers fail" -> fleet.engines().forEach(x -> x.faults.unfetchable = false);
       case "engine fails" -> e.faults.failShare = 0;
       case "answers lost" -> e.faults.loseAnswers = false;
       case "resets" -> e.faults.resetShare = 0;
--- a/src/main/java/gapproxy/sim/World.java
+++ b/src/main/java/gapproxy/sim/World.java
@@ -1,10 +1,12 @@
 package gapproxy.sim;
 
+import gapproxy.audit.Traffic;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
 
 /** A scene on virtual time, judged after every step. */
 public final class World {
@@ -29,10 +31,14 @@
 
   /** @param told whether a timeline is kept */
   public World(Plan plan, boolean told) {
+    this(plan, told, UnaryOperator.identity());
+  }
+
+  World(Plan plan, boolean told, UnaryOperator<Traffic> ear) {
     SplittableRandom all = new SplittableRandom(plan.seed());
     SplittableRandom chance = all.split();
     ground = new SimGround(plan, all);
-    scene = new Scene(plan, ground, chance, told);
+    scene = new Scene(plan, ground, chance, told, ear);
   }
 
   /** Runs it to its end or to the first step that breaks something. */
--- a/src/main/java/gapproxy/standin/Engine.java
+++ b/src/main/java/gapproxy/standin/Engine.java
@@ -104,7 +104,6 @@
     final String key;
     final boolean reads;
     final JsonNode transfer;
-    final boolean place;
     final int prompt;
     final int answer;
     final List<Long> prefixes;
@@ -121,7 +120,7 @@
       key = x.request.header("idempotency-key");
       this.reads = reads;
       this.transfer = transfer;
-      place = places.remove(String.valueOf(x.request.header("x-gapproxy-place"))) != null;
+      free(places, String.valueOf(x.request.header("x-gapproxy-place")), true);
       prompt = chat.prompt();
       Matcher m = REQ.matcher(text);
       String last = id;
@@ -183,6 +182,13 @@
     traffic.started(loop.now(), spec.id, upSince);
   }
 
+  /** Another machine takes its name: cold, with nothing that this one held, at an address of its own. On the loop. */
+  public void replace() throws IOException {
+    kill();
+    at = new InetSocketAddress(at.getHostString(), 0);
+    start(true);
+  }
+
   public boolean up() {
     return server != null;
   }
@@ -384,7 +390,7 @@
     } else if (chance.nextDouble() < faults.failShare) {
       end(j);
       error(x, new ApiError(500, "server_error", "standin_fault", null, "a scripted fault"));
-    } else if (running.size() >= spec.slots && waiting.size() >= spec.queue) {
+    } else if (faults.full || running.size() >= spec.slots && waiting.size() >= spec.queue) {
       end(j);
       error(x, new ApiError(429, "rate_limit_error", "queue_full", null, "the queue is full"));
     } else {
@@ -434,7 +440,7 @@
     if (j.transfer != null) {
       Engine from = peers.get(j.transfer.path("remote_engine_id").asLong(-1));
       String state = j.transfer.path("remote_request_id").asText();
-      if (from == null || !from.states.containsKey(state)) {
+      if (from == null || faults.unfetchable || !from.states.containsKey(state)) {
         end(j);
         error(j.x, new ApiError(410, "invalid_request_error", "state_gone", null, "the state is gone"));
         return;
--- a/src/main/java/gapproxy/standin/Faults.java
+++ b/src/main/java/gapproxy/standin/Faults.java
@@ -8,6 +8,10 @@
   public double slow = 1;
   /** This part of its forwards ends at once with status 500. */
   public double failShare;
+  /** Turns every forward away, as with all slots and the queue taken. */
+  public boolean full;
+  /** Can't fetch the states that wait at others, and says that they are gone. */
+  public boolean unfetchable;
   /** This part of its forwards ends with the connection, after the work has begun. */
   public double resetShare;
   /** Takes requests and never answers, load requests included. */
--- a/src/main/java/gapproxy/standin/Fleet.java
+++ b/src/main/java/gapproxy/standin/Fleet.java
@@ -92,6 +92,16 @@
     });
   }
 
+  /** Puts another machine in an engine's place; the list never says that the one before is gone. */
+  public void replace(Engine e) {
+    try {
+      e.replace();
+      say(e, ServerList.State.READY);
+    } catch (IOException io) {
+      throw new java.io.UncheckedIOException(io);
+    }
+  }
+
   public void close() {
     engines.values().forEach(Engine::kill);
     list.close();
--- a/src/test/java/gapproxy/RuleModel.java
+++ b/src/test/java/gapproxy/RuleModel.java
@@ -315,6 +315,15 @@
     holding(req).quiet = at;
   }
 
+  /** Processes are gone, and their names with them: what is held for their reqs is nobody's to free. */
+  public void abandon(Set<String> processes) {
+    held.forEach((req, h) -> {
+      if (processes.contains(req.substring(0, req.lastIndexOf('-')))) {
+        h.what.clear();
+      }
+    });
+  }
+
   /** Nothing more can come of a req; says whether its books could be closed, which nothing held may stop. */
   public boolean forget(String req) {
     if (!holding(req).what.isEmpty()) {
--- /dev/null
+++ b/src/test/java/gapproxy/sim/GatewayDrive.java
@@ -0,0 +1,191 @@
+package gapproxy.sim;
+
+import gapproxy.RuleModel;
+import gapproxy.audit.Traffic;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Real gateways on virtual time, with the model of the rules beside them: it is told what clients, engines and the list saw. Of faults
+ * only those are drawn after which nobody has to be excused.
+ */
+public final class GatewayDrive {
+  private static final List<String> KINDS = List.of("engine dies", "engine slow", "engine fails", "answers lost", "resets",
+      "engine drains", "drains in waves", "texts forgotten", "states lost", "list late", "list old", "list fails", "gateway dies", "burst",
+      "hang-ups", "retries at once", "memory full", "engine full", "transfers fail", "engine replaced");
+  private static final Duration WINDOW = Duration.ofSeconds(10);
+
+  private GatewayDrive() {}
+
+  static Plan plan(long seed) {
+    SplittableRandom chance = new SplittableRandom(seed ^ 0x6d6f64656cL);
+    Plan p = Plan.of(seed);
+    List<Plan.Fault> faults = new ArrayList<>();
+    for (int i = 1 + chance.nextInt(4); i > 0; i--) {
+      faults.add(new Plan.Fault(KINDS.get(chance.nextInt(KINDS.size())), 300 + chance.nextInt(5000), 20 + chance.nextInt(2500),
+          chance.nextInt(1000), chance.nextDouble(), ""));
+    }
+    return new Plan("", seed, p.gateways(), p.zones(), p.readers(), p.writers(), p.pace(), 2 * p.rate(), p.shuffle(), p.bytes(),
+        chance.nextBoolean(), List.of("all", "zone", "cell").get(chance.nextInt(3)), List.copyOf(faults));
+  }
+
+  /** What a range of seeds breaks first, with the seed, or null. */
+  public static String firstBroken(long from, long to) {
+    for (long seed = from; seed <= to; seed++) {
+      String found = run(plan(seed));
+      if (found != null) {
+        return "seed " + seed + ", " + found;
+      }
+    }
+    return null;
+  }
+
+  /** What a plan breaks first, or null. */
+  static String run(Plan p) {
+    Ear[] ear = new Ear[1];
+    World.Verdict v = new World(p, false, inner -> {
+      ear[0] = new Ear(p);
+      return (Traffic) Proxy.newProxyInstance(Traffic.class.getClassLoader(), new Class<?>[] {Traffic.class}, (proxy, method, args) -> {
+        try {
+          if (method.getDeclaringClass() == Traffic.class) {
+            ear[0].model.tick((Duration) args[0]);
+            method.invoke(ear[0], args);
+          }
+          return method.invoke(inner, args);
+        } catch (InvocationTargetException e) {
+          throw e.getCause();
+        }
+      });
+    }).run();
+    ear[0].model.tick(v.span());
+    return ear[0].model.found();
+  }
+
+  /** Tells the model what the ends of the traffic saw. */
+  private static final class Ear implements Traffic {
+    final RuleModel model = new RuleModel(new RuleModel.Terms(Duration.ofMillis(60), Duration.ofMillis(500), Duration.ofSeconds(1),
+        Duration.ofSeconds(4), 0.3, 4, Duration.ofSeconds(1), 2));
+    private final Plan plan;
+    private final Map<String, Duration> ran = new HashMap<>();   // by the client's mark: when first
+    private final Map<String, String> repeats = new HashMap<>();
+    private final Map<String, Set<String>> tries = new HashMap<>(); // by gateway: those not over
+    private final Map<String, Set<String>> runs = new HashMap<>(); // by gateway: names of its processes
+    private final Set<String> dead = new HashSet<>();
+
+    Ear(Plan plan) {
+      this.plan = plan;
+    }
+
+    /** The gateway's name of the req, from a forward's or a place's id: NAME-PROCESS-REQ-FORWARD. */
+    private static String name(String id) {
+      return id.substring(0, id.lastIndexOf('-'));
+    }
+
+    private static String process(String id) {
+      return name(name(id));
+    }
+
+    @Override
+    public void asked(Duration at, String req, int n, String gateway, String repeat, Duration budget) {
+      model.taken(at, req + "#" + n, budget);
+      tries.computeIfAbsent(gateway, g -> new HashSet<>()).add(req + "#" + n);
+      if (repeats.put(req, repeat) == null) {
+        model.may(req, RuleModel.Repeat.valueOf(repeat.toUpperCase(Locale.ROOT)),
+            RuleModel.Scope.valueOf(plan.scope().toUpperCase(Locale.ROOT)), WINDOW);
+      } else if (n == 0 && ran.containsKey(req) && at.minus(ran.get(req)).compareTo(WINDOW) > 0) {
+        model.wantedAnew(req);
+        ran.remove(req);
+      }
+    }
+
+    @Override
+    public void firstToken(Duration at, String req, int n) {
+      model.began(at, req + "#" + n);
+    }
+
+    @Override
+    public void answered(Duration at, String req, int n, Answer how) {
+      model.answered(at, req + "#" + n);
+      if (how == Answer.PUSHED_BACK && repeats.get(req).equals("non_replayable")) {
+        model.pushedBack(at, req);
+      }
+    }
+
+    @Override
+    public void after(Duration at, String req, int n, String what) {
+      model.doneFor(at, req + "#" + n, what);
+    }
+
+    @Override
+    public void left(Duration at, String req, int n, Left how) {
+      if (how == Left.HUNG_UP) {
+        model.waived(req + "#" + n);
+      }
+    }
+
+    @Override
+    public void forward(Duration at, long engine, String gateway, String req, String id, boolean read) {
+      runs.computeIfAbsent(gateway, g -> new HashSet<>()).add(process(id));
+      model.used(at, gateway, engine, "forward " + id);
+      model.work(at, gateway, engine, 60 * plan.pace());
+      model.out(name(id));
+    }
+
+    @Override
+    public void ran(Duration at, long engine, String req, String id, String key) {
+      ran.putIfAbsent(req, at);
+      int zone = (int) ((engine - 1) / (plan.readers() + plan.writers()));
+      model.ran(at, req, engine, zone, zone, key);
+    }
+
+    @Override
+    public void ended(Duration at, long engine, String id) {
+      model.in(at, name(id));
+    }
+
+    @Override
+    public void holds(Duration at, long engine, String req, String id) {
+      if (!dead.contains(process(id))) {
+        model.holds(at, name(id), engine + "/" + id);
+      }
+    }
+
+    @Override
+    public void freed(Duration at, long engine, String id, boolean taken) {
+      model.freed(at, name(id), engine + "/" + id);
+    }
+
+    @Override
+    public void told(Duration at, String gateway, long engine, boolean usable, Instant start) {
+      model.told(at, gateway, engine, usable, start);
+    }
+
+    @Override
+    public void started(Duration at, long engine, Instant start) {
+      if (start != null) {
+        model.started(at, engine, start);
+      }
+    }
+
+    @Override
+    public void gateway(Duration at, String gateway, boolean up) {
+      if (up) {
+        model.gatewayStarts(gateway);
+      } else {                                                // it owes nothing any longer, nor does its next process for it
+        tries.getOrDefault(gateway, Set.of()).forEach(model::waived);
+        dead.addAll(runs.getOrDefault(gateway, Set.of()));
+        model.abandon(runs.getOrDefault(gateway, Set.of()));
+      }
+    }
+  }
+}
--- a/src/test/java/gapproxy/sim/Mutants.java
+++ b/src/test/java/gapproxy/sim/Mutants.java
@@ -69,25 +69,18 @@
     return found.isEmpty() ? null : String.valueOf(found.get(0));
   }
 
+  private interface Search {
+    String in(ClassLoader mutant) throws Exception;
+  }
+
+  /** What a drive's model of the rules finds first in so many seeds; null where it finds nothing. */
+  static String find(Mutant m, String drive, long seeds) throws Exception {
+    return with(m, mutant -> (String) mutant.loadClass(drive).getMethod("firstBroken", long.class, long.class).invoke(null, 1L, seeds));
+  }
+
   /** The first of so many seeds at which a mutant is found, and by what; null where none finds it. */
   static String find(Mutant m, int seeds) throws Exception {
-    Path sources = Path.of("src/main/java/gapproxy");
-    Path classes = Path.of("target/classes").toAbsolutePath();
-    String text = Files.readString(sources.resolve(m.file));
-    if (text.split(java.util.regex.Pattern.quote(m.replace), -1).length != 2) {
-      throw new IllegalStateException(m.name + ": its place does not stand once in " + m.file);
-    }
-    Path out = Files.createTempDirectory("mutant");
-    Path file = out.resolve("src").resolve(m.file);
-    Files.createDirectories(file.getParent());
-    Files.writeString(file, text.replace(m.replace, m.by));
-    JavaCompiler javac = ToolProvider.getSystemJavaCompiler();
-    int failed = javac.run(null, null, System.err, "-nowarn", "-d", out.toString(), "-cp",
-        classes + java.io.File.pathSeparator + System.getProperty("java.class.path"), file.toString());
-    if (failed != 0) {
-      throw new IllegalStateException(m.name + " does not compile");
-    }
-    try (Loader loader = new Loader(out.toUri().toURL(), classes.toUri().toURL())) {
+    return with(m, loader -> {
       Class<?> world = loader.loadClass("gapproxy.sim.World");
       for (int seed = 1; seed <= seeds; seed++) {
         String found = found(world.getConstructor(long.class, boolean.class).newInstance((long) seed, false));
@@ -104,6 +97,29 @@
         }
       }
       return null;
+    });
+  }
+
+  private static String with(Mutant m, Search search) throws Exception {
+    Path sources = Path.of("src/main/java/gapproxy");
+    Path classes = Path.of("target/classes").toAbsolutePath();
+    String text = Files.readString(sources.resolve(m.file));
+    if (text.split(java.util.regex.Pattern.quote(m.replace), -1).length != 2) {
+      throw new IllegalStateException(m.name + ": its place does not stand once in " + m.file);
+    }
+    Path out = Files.createTempDirectory("mutant");
+    Path file = out.resolve("src").resolve(m.file);
+    Files.createDirectories(file.getParent());
+    Files.writeString(file, text.replace(m.replace, m.by));
+    JavaCompiler javac = ToolProvider.getSystemJavaCompiler();
+    int failed = javac.run(null, null, System.err, "-nowarn", "-d", out.toString(), "-cp",
+        classes + java.io.File.pathSeparator + System.getProperty("java.class.path"), file.toString());
+    if (failed != 0) {
+      throw new IllegalStateException(m.name + " does not compile");
+    }
+    try (Loader loader = new Loader(out.toUri().toURL(), classes.toUri().toURL(),
+        Path.of("target/test-classes").toUri().toURL())) {
+      return search.in(loader);
     } finally {
       delete(out);
     }
--- /dev/null
+++ b/src/test/java/gapproxy/sim/RuleModelTest.java
@@ -0,0 +1,67 @@
+package gapproxy.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gapproxy.config.Config;
+import gapproxy.daemon.Logs;
+import gapproxy.sim.Mutants.Mutant;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** The model of the rules beside the real gateway; and that it can fail, beside the decisions alone and beside the gateway. */
+class RuleModelTest {
+  @BeforeAll
+  static void quiet() {
+    Logs.use(new Config.Log("text", "off"));
+  }
+
+  private static final String RULES = "Rules.java", GATEWAY = "gateway/Gateway.java", FLEET = "gateway/Fleet.java";
+
+  private record Planted(int rule, String drive, Mutant fault) {}
+
+  private static Planted planted(int rule, String drive, String file, String replace, String by) {
+    return new Planted(rule, "gapproxy." + drive, new Mutant("rule " + rule + " by " + drive + ": " + by, file, replace, by));
+  }
+
+  private static final List<Planted> PLANTED = List.of(
+      planted(1, "RulesDrive", RULES, "        out.add(new Action.Abort(in.req()));", "        assert true;"),
+      planted(2, "RulesDrive", RULES, "r.group.scope().covers(t.line, s.line)", "true"),
+      planted(3, "RulesDrive", RULES, "r.begun || !s.ready() ||", "r.begun ||"),
+      planted(4, "RulesDrive", RULES, "      return !cold() || credit >= 1;", "      return true;"),
+      planted(5, "RulesDrive", RULES, "      if (!tries.isEmpty()) {\n        out.add(new Action.Drop", "      if (begun) {\n        out.add(new Action.Drop"),
+      planted(1, "sim.GatewayDrive", GATEWAY, "() -> r.exchange.respond(e.status, h, e.bytes()));\n    settle(r);", "() -> { });\n    settle(r);"),
+      planted(2, "sim.GatewayDrive", GATEWAY, "      case BROKEN -> Outcome.BROKEN;", "      case BROKEN -> Outcome.NO_CONNECTION;"),
+      planted(3, "sim.GatewayDrive", FLEET, "line(s, Event.State.valueOf(e.state().name()))", "line(s, Event.State.READY)"),
+      planted(4, "sim.GatewayDrive", RULES, "      return !cold() || credit >= 1;", "      return true;"),
+      planted(5, "sim.GatewayDrive", GATEWAY, "        freeState(r);                                         // a writer", "        r.state = null;                                         // a writer"));
+
+  @Test
+  void theModelHoldsBesideTheRealGateway() {
+    List<String> broken = LongStream.rangeClosed(1, 300).parallel().mapToObj(seed -> GatewayDrive.firstBroken(seed, seed))
+        .filter(Objects::nonNull).sorted().toList();
+    assertEquals(List.of(), broken);
+  }
+
+  @Test
+  void aPlantedFaultOfEachRuleIsCaughtBesideTheDecisionsAndTheGateway() {
+    Map<String, String> found = new ConcurrentHashMap<>();
+    IntStream.range(0, PLANTED.size()).parallel().forEach(i -> {
+      Planted p = PLANTED.get(i);
+      try {
+        found.put(p.fault.name(), String.valueOf(Mutants.find(p.fault, p.drive, 1000)));
+      } catch (Exception e) {
+        found.put(p.fault.name(), "NOT RUN: " + e);
+      }
+    });
+    new TreeMap<>(found).forEach((name, by) -> System.out.println(name + " | " + by));
+    PLANTED.forEach(p -> assertTrue(found.get(p.fault.name()).contains(", rule " + p.rule + ","), p.fault.name() + " | " + found.get(p.fault.name())));
+  }
+}
