--- a/src/main/java/gapproxy/api/Settings.java
+++ b/src/main/java/gapproxy/api/Settings.java
@@ -14,8 +14,6 @@
     List<ServerKind> kinds,
     boolean writersRead,
     boolean holdAhead,
-    Duration releaseWithin,
-    Duration drainGrace,
     ColdLimit cold,
     boolean listOnRequest,
     Duration askListWithin,
--- a/src/main/java/gapproxy/benchlink/SettingsReader.java
+++ b/src/main/java/gapproxy/benchlink/SettingsReader.java
@@ -65,8 +65,6 @@
         List.copyOf(kinds),
         family.path("localRead").asBoolean(false),
         family.path("ahead").asBoolean(false),
-        span(need(family, "releaseWithinUs", "familyInfo.")),
-        span(need(rules, "drainGraceUs", "guarantees.")),
         new ColdLimit(
             need(rules, "startCapacity", "guarantees.").asDouble(),
             span(need(rules, "warmUpUs", "guarantees.")),
--- a/src/main/java/gapproxy/config/Config.java
+++ b/src/main/java/gapproxy/config/Config.java
@@ -80,7 +80,7 @@
             span(g.responseTargetMs), span(g.targetPer1000Ms))).toList(),
         customers.stream().map(c -> new Customer(c.reqsPerSecond)).toList(), overShareWorth,
         kinds.stream().map(k -> new ServerKind(Role.valueOf(k.role.toUpperCase(Locale.ROOT)), k.memoryTokens)).toList(),
-        writersRead, holdAhead, span(rules.releaseWithinMs), span(rules.drainGraceMs),
+        writersRead, holdAhead,
         new ColdLimit(rules.cold.leastCapacity, span(rules.cold.warmWithinMs), rules.cold.tipMultiple,
             span(rules.cold.tipSpanMs)),
         list.url != null, span(list.askWithinMs),
--- a/src/test/java/gapproxy/World.java
+++ b/src/test/java/gapproxy/World.java
@@ -76,7 +76,7 @@
   }
 
   static RuleModel.Terms terms(Settings s) {
-    return new RuleModel.Terms(SLACK, s.drainGrace(), s.releaseWithin(), s.cold().warmWithin(), s.cold().leastCapacity(),
+    return new RuleModel.Terms(SLACK, ms(250), ms(300), s.cold().warmWithin(), s.cold().leastCapacity(),
         s.cold().tipMultiple(), s.cold().tipSpan(), 2);
   }
 
@@ -111,7 +111,7 @@
     for (int i = 0; i < customers; i++) {
       shares.add(new Settings.Customer(20));
     }
-    return new Settings(3, 0, ms(4), groups, shares, 0.2, kinds, local, ahead, ms(300), ms(250),
+    return new Settings(3, 0, ms(4), groups, shares, 0.2, kinds, local, ahead,
         new Settings.ColdLimit(0.25, ms(12_000), 4, ms(2000)), ask, ms(5000),
         new Settings.Reports(source, 0, 1, -1, 2, 3),
         new Settings.Limits(5, cancel, cancel, probes, true, ms(1000)));
@@ -126,7 +126,7 @@
   /** The same among more gateways, and with reports from that source. */
   static Settings grown(Settings s, int gateways, Settings.Source source) {
     return new Settings(gateways, s.zone(), s.tick(), s.groups(), s.customers(), s.overShareWorth(), s.kinds(),
-        s.writersRead(), s.holdAhead(), s.releaseWithin(), s.drainGrace(), s.cold(), s.listOnRequest(),
+        s.writersRead(), s.holdAhead(), s.cold(), s.listOnRequest(),
         s.askListWithin(), new Settings.Reports(source, 0, 1, -1, 2, 3), s.limits());
   }
 
