A role that is all cold earns its budget by what it finishes; token counts are learned by model

All cold: the test marked as open (0 of 500 reqs in 5 s) is mended. Cause: Pool.rate knew only warm servers' work, so after a restart of a whole role nothing was sent until the first was warm. Change: with none warm, all gateways together begin with one req a tip span and go on by what each cold server finishes over its strength, three quarters of which stays under its capacity times the multiple. Token counts: engines that count one model's prompts four times as long made another model's short prompts go to a reader (test seen failing); the ratio is now kept by model.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -148,7 +148,8 @@
       pools.values().forEach(p -> p.waits.halve());
     }
     pools.forEach((role, p) -> p.beat(beats % BEATS_TO_HALVE == 0,
-        (int) servers.values().stream().filter(s -> s.role() == role && s.ready() && !s.cold()).count()));
+        (int) servers.values().stream().filter(s -> s.role() == role && s.ready() && !s.cold()).count(),
+        (int) servers.values().stream().filter(s -> s.role() == role && s.ready()).count()));
     servers.values().forEach(s -> mail.post(s, new Note.Beat(beats % BEATS_TO_HALVE == 0)));
     cells.count(servers.values().stream().filter(s -> s.ready() && !s.aside).toList(), Server::strength);
   }
@@ -158,11 +159,12 @@
     final Tally pace = new Tally(12);
     final Waits waits = new Waits(FIRST_WAIT);
     final Set<Try> unbegun = new LinkedHashSet<>();
-    double worked;                                            // forwards that went well at each warm one, fading
+    double worked;                                            // what went well at each warm one, fading
     double held, heldEach;                                    // shares of memory by own streams; smoothed
-    int warm = 1;
+    int warm = 1, allCold;                                    // servers; those ready while none is warm
 
-    void beat(boolean halve, int warmNow) {
+    void beat(boolean halve, int warmNow, int ready) {
+      allCold = warmNow == 0 ? ready : 0;
       warm = Math.max(1, warmNow);
       worked *= 0.95;
       heldEach += (held / warm - heldEach) * HELD_STEP;
@@ -185,8 +187,8 @@
     double middling(double toRead) { return Math.pow(2, pace.quantile(0.5)) / 1e6 * (500 + toRead); }
 
     /**
-     * Forwards a second that went well at one warm server; the fading sum spans two seconds. Each counts by the
-     * servers that were warm as it ended: with all cold at once their work would else pass as that of one.
+     * Forwards a second that went well at one warm server; the fading sum spans two seconds. Each counts by
+     * the servers warm as it ended: with all cold at once their work would else pass as that of one.
      */
     double rate() { return worked / (seconds(BEAT) / 0.05); }
   }
@@ -225,13 +227,15 @@
     /**
      * Cold budget. Guards against tipping a server that has just started, whoever else sends to it: a gateway
      * saves up three quarters of what a like server finishes for it, from a chance start below one req, so
-     * that gateways with little traffic don't all send at once. It also eases in a replaced machine; it could
-     * starve a server when starts are frequent.
+     * that gateways with little traffic don't all send at once. With a whole role cold all gateways together
+     * begin with one req a tip span and go on by what it finishes, which is within its capacity. It also
+     * eases in a replaced machine; it could starve a server when starts are frequent.
      */
     boolean coldRoom() {
       if (cold()) {
-        double part = COLD_PART * Math.min(1, set.cold().tipMultiple() * strength()) * pool().rate();
-        credit = Math.min(1, credit + part * seconds(now.minus(creditAt)));
+        double least = pool().allCold > 0 ? 1 / seconds(set.cold().tipSpan()) / set.gateways() : 0;
+        double part = COLD_PART * Math.min(1, set.cold().tipMultiple() * strength());
+        credit = Math.min(1, credit + part * Math.max(least, pool().rate()) * seconds(now.minus(creditAt)));
         creditAt = now;
       }
       return !cold() || credit >= 1;
@@ -437,7 +441,8 @@
       went.add(well ? 0 : 1, 1);
       (t.moved ? moves : pool().waits).add(pool().excess(t, took), WAITS_KEPT);
       if (well) {
-        pool().worked += cold() ? 0 : 1.0 / pool().warm;
+        pool().worked += !cold() ? 1.0 / pool().warm
+            : pool().allCold > 0 ? 1 / strength() / pool().allCold : 0;
         if (!t.moved) {
           waits.add(pool().excess(t, took));
         }
@@ -622,8 +627,8 @@
     t.toRead = read || t.local ? r.in.prompt() - t.believed : 0;
     r.tries.add(t);
     r.running++;
-    Action.Path path = t.harmless ? Action.Path.READ : t.local || read ? Action.Path.LOCAL : Action.Path.WRITE;
-    out.add(new Action.Forward(r.in.req(), s.id, path, least(timeOut, r.left().minus(set.tick()))));
+    Action.Path how = t.harmless ? Action.Path.READ : t.local || read ? Action.Path.LOCAL : Action.Path.WRITE;
+    out.add(new Action.Forward(r.in.req(), s.id, how, least(timeOut, r.left().minus(set.tick()))));
     mail.post(s, new Note.Sent(t));
   }
 
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -80,7 +80,7 @@
   private HttpServer server;
   private Duration stepped = Duration.ZERO;
   private long numbers;
-  private double ratio = 1;
+  private final Map<String, Double> ratios = new HashMap<>(); // by model
   private boolean stopping;
   private BiConsumer<String, String> watcher = (stage, event) -> { };
 
@@ -773,11 +773,15 @@
     return h;
   }
 
-  /** Puts the estimates of prompt lengths right by what engines count. */
+  private double ratio(ChatRequest chat) {
+    return ratios.getOrDefault(chat.model(), 1.0);
+  }
+
+  /** Puts the estimates of prompt lengths right by what a model's engines count. */
   private void learn(Req r, long counted) {
     if (counted > 0 && r.chat.prompt() > 0) {
       double seen = Math.max(LEAST_RATIO, Math.min(MOST_RATIO, (double) counted / r.chat.prompt()));
-      ratio += (seen - ratio) / 50;
+      ratios.merge(r.chat.model(), 1 + (seen - 1) / 50, (ratio, first) -> ratio + (seen - ratio) / 50);
     }
   }
 
@@ -875,7 +879,7 @@
       if (chat.resumed() && !config.resume()) {
         throw ApiError.invalid("unsupported", "continue_final_message", "engines here do not go on with a cut answer");
       }
-      int prompt = (int) Math.ceil(chat.prompt() * ratio);
+      int prompt = (int) Math.ceil(chat.prompt() * ratio(chat));
       Duration budget = budget(q, group, prompt);
       if (stopping || reqs.size() >= config.limits().openReqs()) {
         throw new ApiError(503, "server_error", stopping ? "stopping" : "too_many_reqs", null,
@@ -896,7 +900,7 @@
       double most = chat.maxAnswer() > 0 ? chat.maxAnswer() : Integer.MAX_VALUE;
       pending.add(new Event.Accept(number, g, customer, chat.session() == null ? 0 : hash(customer + "/" + chat.session()),
           budget, chat.shared().isEmpty() ? 0 : hash(chat.shared()), prompt,
-          Math.min(prompt, chat.sharedPart() * ratio), most));
+          Math.min(prompt, chat.sharedPart() * ratio(chat)), most));
     }
 
     private void models(Exchange x) {
--- a/src/test/java/gapproxy/RulesTest.java
+++ b/src/test/java/gapproxy/RulesTest.java
@@ -16,7 +16,6 @@
 import java.util.Objects;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
-import org.junitpioneer.jupiter.ExpectedToFail;
 
 class RulesTest {
   private static final Duration BUDGET = World.ms(6000);
@@ -540,7 +539,6 @@
   }
 
   @Test
-  @ExpectedToFail("with every server of a role cold nothing tells what one can take, so all is pushed back until the first is warm")
   void aFleetThatBeginsAllColdServesSomething() {
     World w = new World(World.plain(), 1);
     w.tell(Event.ListForm.COMPLETE, LongStream.rangeClosed(1, 4)
@@ -550,8 +548,13 @@
       w.now = w.now.plus(World.ms(10));
       w.step(new Event.Wake());
       Job j = w.accept(0, 1 + i, 0, 100, 0, BUDGET);
-      served += j.forwards.size();
+      if (!j.ended) {
+        served++;
+        Fwd f = j.forwards.get(0);
+        w.begin(f);
+        w.end(f, Outcome.DONE, 0);
+      }
     }
-    assertTrue(served > 0, "none of 500 in five seconds");
+    assertTrue(served > 10, served + " of 500 in five seconds");
   }
 }
--- a/src/test/java/gapproxy/sim/ErrorPathsTest.java
+++ b/src/test/java/gapproxy/sim/ErrorPathsTest.java
@@ -241,6 +241,19 @@
     }
   }
 
+  @Test
+  void howOneModelsEnginesCountTokensSaysNothingOfAnother() throws Exception {
+    SimBed b = bed("", SimBed.WELL, (x, q, body) -> stream(x, "data: {\"choices\": [{\"delta\": {\"content\": \"w\"}}]}\n\n"
+        + "data: {\"choices\": [], \"usage\": {\"prompt_tokens\": 99999}}\n\ndata: [DONE]\n\n"));
+    for (int i = 0; i < 60; i++) {
+      b.ask("order", 20, true, Map.of());
+      b.run(20);
+    }
+    Answer a = b.ask(200);
+    over(b, a, 200);
+    assertEquals("local", a.headers.get("x-gapproxy-path"));
+  }
+
   @Test
   void aStreamThatBreaksEndsWithAnErrorAndNoDone() throws Exception {
     for (boolean whole : new boolean[] {false, true}) {
