A machine in another cell or zone under a known name is another engine

Seen: test aMachineElsewhereUnderTheSameNameKeepsNothing, red before: the texts of the one before counted as kept (local read of 4,100 tokens). Line at fault: Rules.Server.take(Line) looked at start and kind only.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -291,7 +291,7 @@
     void take(Object note) {
       if (note instanceof Event.Line l) {
         boolean started = l.upSince() != null && (start == null || l.upSince().compareTo(start) > 0);
-        if (started || l.kind() != line.kind()) {
+        if (started || l.kind() != line.kind() || l.cell() != line.cell() || l.zone() != line.zone()) {
           replaced(started ? l.upSince() : now);
         }
         start = started ? l.upSince() : start;
--- a/src/test/java/gapproxy/RulesTest.java
+++ b/src/test/java/gapproxy/RulesTest.java
@@ -420,6 +420,14 @@
     assertEquals(Role.READ, role(w, w.accept(0, 1, 0, 4100, 0, BUDGET).forwards.get(0)));
   }
 
+  @Test
+  void aMachineElsewhereUnderTheSameNameKeepsNothing() {
+    World w = pair(Settings.Source.NONE);
+    w.end(run(w, w.accept(0, 1, 0, 4000, 0, BUDGET)), Outcome.DONE, 0);
+    w.tell(w.line(2, 1, 5, Event.State.READY, null));
+    assertEquals(Role.READ, role(w, w.accept(0, 1, 0, 4100, 0, BUDGET).forwards.get(0)));
+  }
+
   @Test
   void failuresOfTheEngineBeforeDoNotSetTheNewOneAside() {
     World w = pair(Settings.Source.NONE);
