--- a/src/test/java/gapproxy/sim/Mutants.java
+++ b/src/test/java/gapproxy/sim/Mutants.java
@@ -30,7 +30,7 @@
       new Mutant("whole answers have no deadline", GATEWAY, "    if (r.chat.stream()) {\n      r.limit.cancel();",
           "    r.limit.cancel();\n    if (r.chat.stream()) {\n      r.limit.cancel();"),
       new Mutant("a silent engine is waited for", GATEWAY, "    watch(f);\n    r.firstToken", "    r.firstToken"),
-      new Mutant("a forward's end is not told", GATEWAY, "    pending.add(new Event.Ended(r.number, f.number, how, f.at.id(), note, r.answered, loop.now().minus(f.sent),\n        new double[0]));\n",
+      new Mutant("a forward's end is not told", GATEWAY, "    pending.add(new Event.Ended(r.number, f.number, how, note, r.answered, loop.now().minus(f.sent),\n        new double[0]));\n",
           ""),
       new Mutant("a cancel does not close the call", GATEWAY, "    if (f.call != null && (how == Outcome.CANCELLED || how == Outcome.TIMED_OUT)) {",
           "    if (f.call != null && how == Outcome.TIMED_OUT) {"),
