--- a/src/test/java/gapproxy/RulesTest.java
+++ b/src/test/java/gapproxy/RulesTest.java
@@ -16,7 +16,6 @@
 import java.util.Objects;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
-import org.junitpioneer.jupiter.ExpectedToFail;
 
 class RulesTest {
   private static final Duration BUDGET = World.ms(6000);
@@ -421,6 +420,14 @@
     assertEquals(Role.READ, role(w, w.accept(0, 1, 0, 4100, 0, BUDGET).forwards.get(0)));
   }
 
+  @Test
+  void aMachineElsewhereUnderTheSameNameKeepsNothing() {
+    World w = pair(Settings.Source.NONE);
+    w.end(run(w, w.accept(0, 1, 0, 4000, 0, BUDGET)), Outcome.DONE, 0);
+    w.tell(w.line(2, 1, 5, Event.State.READY, null));
+    assertEquals(Role.READ, role(w, w.accept(0, 1, 0, 4100, 0, BUDGET).forwards.get(0)));
+  }
+
   @Test
   void failuresOfTheEngineBeforeDoNotSetTheNewOneAside() {
     World w = pair(Settings.Source.NONE);
@@ -540,7 +547,6 @@
   }
 
   @Test
-  @ExpectedToFail("with every server of a role cold nothing tells what one can take, so all is pushed back until the first is warm")
   void aFleetThatBeginsAllColdServesSomething() {
     World w = new World(World.plain(), 1);
     w.tell(Event.ListForm.COMPLETE, LongStream.rangeClosed(1, 4)
@@ -550,8 +556,13 @@
       w.now = w.now.plus(World.ms(10));
       w.step(new Event.Wake());
       Job j = w.accept(0, 1 + i, 0, 100, 0, BUDGET);
-      served += j.forwards.size();
+      if (!j.ended) {
+        served++;
+        Fwd f = j.forwards.get(0);
+        w.begin(f);
+        w.end(f, Outcome.DONE, 0);
+      }
     }
-    assertTrue(served > 0, "none of 500 in five seconds");
+    assertTrue(served > 10, served + " of 500 in five seconds");
   }
 }
