Audit: an old list makes no gateway forget a start that it was told

Found by reading the change again: told() overwrote the known start with an older one or none, so the new clause of two thirds could excuse a tipped server after an old list. Test red before (0 broken in place of 1), green after.

--- a/src/main/java/gapproxy/audit/Audit.java
+++ b/src/main/java/gapproxy/audit/Audit.java
@@ -235,7 +235,9 @@
 
   @Override
   public void told(Duration at, String gateway, long engine, boolean usable, Instant start) {
-    knows.computeIfAbsent(gateway, g -> new HashMap<>()).put(engine, start);
+    if (start != null) {                                      // an old list makes nobody forget a start
+      knows.computeIfAbsent(gateway, g -> new HashMap<>()).merge(engine, start, (a, b) -> a.isAfter(b) ? a : b);
+    }
     Map<Long, Duration> of = barred.computeIfAbsent(gateway, g -> new HashMap<>());
     if (usable) {
       of.remove(engine);
--- a/src/test/java/gapproxy/audit/AuditTest.java
+++ b/src/test/java/gapproxy/audit/AuditTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.time.Duration;
+import java.time.Instant;
 import org.junit.jupiter.api.Test;
 
 /** Whom the audit excuses, and whom it does not. */
@@ -33,4 +34,17 @@
     assertEquals(0, held(true, false));
     assertEquals(0, held(false, true));
   }
+
+  @Test
+  void aGatewayToldOfAStartIsNotUntoldByAnOldList() {
+    Instant start = Instant.parse("2026-01-01T00:00:00Z");
+    Audit a = new Audit(new Audit.Figures(s(1), s(1), s(1), s(0.1)));
+    a.gateway(s(0), "g", true);
+    a.started(s(1), 7, start);
+    a.told(s(1.1), "g", 7, true, start);
+    a.told(s(1.2), "g", 7, true, null);
+    a.forward(s(1.3), 7, "g", "r", "g-x-0", false);
+    a.tipped(s(1.3), 7, s(1), "x");
+    assertEquals(1, a.finish(s(2)).counts()[4]);
+  }
 }
