--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -182,7 +182,7 @@
     private void connect(Duration within) {
       open++;
       limit = loop.after(within, () -> fail(Failure.NO_CONNECTION, "no connection within " + within.toMillis() + " ms"));
-      net.connect(to, () -> List.<Filter>of(new Interim(), new HttpClientFilter(HEAD), new Gather()), new Net.Connected() {
+      net.connect(to, () -> List.<Filter>of(new Interim(), Chunks.in(new HttpClientFilter(HEAD)), new Gather()), new Net.Connected() {
         @Override
         public void opening(Runnable g) {
           giveUp = g;
@@ -367,7 +367,8 @@
 
   /**
    * Takes interim (1xx) answers away that come ahead of a response (RFC 9110, section 15.2): the codec takes the first
-   * answer for the response, and knows of no request for the next.
+   * answer for the response, and knows of no request for the next. Heads pass whole and in one array: in one
+   * that is put together of pieces the codec does not see a coding that is written in capitals.
    */
   private static final class Interim extends BaseFilter {
     private static final String START = "HTTP/1.1 1";
@@ -382,18 +383,25 @@
         while (same < Math.min(START.length(), in.remaining()) && in.get(from + same) == START.charAt(same)) {
           same++;
         }
-        if (same < START.length()) {
-          if (same == in.remaining()) {
-            return ctx.getStopAction(in);                     // too little to tell
-          }
-          w.ahead = false;
+        if (same == in.remaining()) {
+          return ctx.getStopAction(in);                       // too little to tell
+        } else if (same < START.length() - 1) {
+          w.ahead = false;                                    // no HTTP: the codec says so
           break;
         }
         int end = end(in, from);
         if (end < 0 && in.remaining() > HEAD) {
-          throw new IllegalStateException("an interim answer without end");
+          throw new IllegalStateException("a head without end");
         } else if (end < 0) {
           return ctx.getStopAction(in);
+        } else if (same < START.length()) {
+          w.ahead = false;
+          if (in.isComposite()) {
+            byte[] bytes = new byte[in.remaining()];
+            in.get(bytes);
+            ctx.setMessage(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes));
+          }
+          break;
         }
         in.position(end);
         if (!in.hasRemaining()) {
--- a/src/main/java/gapproxy/http/HttpServer.java
+++ b/src/main/java/gapproxy/http/HttpServer.java
@@ -74,7 +74,7 @@
     HttpServer s = new HttpServer(loop, net, caps, handler);
     IntFunction<byte[]> errors = status -> handler.error(status, status == 413 || status == 431
         ? "the request's head is too long" : "the request is not valid HTTP/1.1");
-    Supplier<List<Filter>> filters = () -> List.of(new Strict(caps, errors), s.new Gather());
+    Supplier<List<Filter>> filters = () -> List.of(Chunks.in(new Strict(caps, errors)), s.new Gather());
     s.port = net.listen(at, filters);
     return s;
   }
--- a/src/test/java/gapproxy/http/SpoiltAnswersTest.java
+++ b/src/test/java/gapproxy/http/SpoiltAnswersTest.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -33,6 +34,7 @@
   private ServerSocket server;
   private volatile String answer = "";
   private volatile boolean drop;                              // closes in place of an answer
+  private volatile int piece = Integer.MAX_VALUE;             // bytes written at a time
   private volatile int floods;                                // times that the flood is sent behind the answer
 
   @BeforeEach
@@ -66,12 +68,17 @@
     try {
       byte[] some = new byte[4096];
       OutputStream out = s.getOutputStream();
+      s.setTcpNoDelay(true);
       while (s.getInputStream().read(some) > 0) {
         if (drop) {
           s.close();
           return;
         }
-        out.write(answer.getBytes(StandardCharsets.ISO_8859_1));
+        byte[] bytes = answer.getBytes(StandardCharsets.ISO_8859_1);
+        for (int i = 0; i < bytes.length; i += piece) {
+          out.write(bytes, i, Math.min(piece, bytes.length - i));
+          LockSupport.parkNanos(piece < bytes.length ? 200_000 : 0);
+        }
         byte[] flood = "x".repeat(64 << 10).getBytes(StandardCharsets.ISO_8859_1);
         for (int i = 0; i < floods; i++) {
           out.write(flood);
@@ -137,6 +144,15 @@
   void aChunkWhoseSizeCantBeRead() throws Exception {
     fails(HEAD + "5\r\nhello\r\nzz\r\nhello\r\n");
     fails(HEAD + "-5\r\nhello\r\n");
+    fails(HEAD + "5\r\nhello\r\n\r\nhello\r\n0\r\n\r\n");
+    fails(HEAD + ";a=b\r\nhello\r\n0\r\n\r\n");
+    fails(HEAD + "5 5\r\nhello\r\n0\r\n\r\n");
+  }
+
+  @Test
+  void aChunkLongerThanItsSize() throws Exception {
+    fails(HEAD + "4\r\nhello\r\n0\r\n\r\n");
+    fails(HEAD + "5\r\nhellohello\r\n0\r\n\r\n");
   }
 
   @Test
@@ -150,6 +166,25 @@
     fails(HEAD + "c0000000\r\nhello");
   }
 
+  @Test
+  void allFormsOfAnAnswerInPiecesCutAnywhere() throws Exception {
+    List<String> forms = List.of(WELL,
+        HEAD + "0005\r\nhello\r\n0\r\n\r\n", HEAD + "5;a=b\r\nhello\r\n0;c\r\n\r\n",
+        HEAD + "5 \r\nhello\r\n0\r\n\r\n", HEAD + "2\r\nhe\r\n3\r\nllo\r\n000\r\n\r\n",
+        HEAD + "5\r\nhello\r\n0\r\nA-Trailer: b\r\nOther: c\r\n\r\n",
+        "HTTP/1.1 200 \r\ntransfer-encoding:CHUNKED\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA:   b  \r\nTransfer-Encoding:   chunked  \r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + WELL);
+    for (int size : new int[] {Integer.MAX_VALUE, 1, 2, 3, 7}) {
+      for (String form : forms) {
+        piece = size;
+        answer = form;
+        assertEquals(new Got(200, "hello", null), ask(), form + " in pieces of " + size);
+      }
+    }
+  }
+
   @Test
   void interimAnswersAreNotTheAnswer() throws Exception {
     answer = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + WELL;
--- a/src/test/java/gapproxy/platform/PlatformTest.java
+++ b/src/test/java/gapproxy/platform/PlatformTest.java
@@ -159,6 +159,25 @@
     assertFalse(site.asked.containsKey("POST /v1/chat/completions"));
   }
 
+  @Test
+  void aReqInChunksComesInPiecesCutAnywhere() throws Exception {
+    String chunks = "5;part=1\r\n" + BODY.substring(0, 5) + "\r\n" + Integer.toHexString(BODY.length() - 5).toUpperCase() + "\r\n"
+        + BODY.substring(5) + "\r\n0;last\r\nA: b\r\n\r\n";
+    for (String coding : List.of("chunked", "CHUNKED")) {
+      byte[] all = (head("p" + coding, "transfer-encoding:  " + coding + "\r\n\r\n") + chunks).getBytes(StandardCharsets.UTF_8);
+      try (Socket s = connect()) {
+        s.setTcpNoDelay(true);
+        for (byte b : all) {
+          s.getOutputStream().write(b);
+          java.util.concurrent.locks.LockSupport.parkNanos(100_000);
+        }
+        String a = answer(s);
+        assertEquals(200, status(a), a);
+        assertTrue(a.contains("data: [DONE]"), a);
+      }
+    }
+  }
+
   @Test
   void theIdOfAnOpenReqIsRefused() throws Exception {
     CountDownLatch out = new CountDownLatch(1);
