--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -247,7 +247,7 @@
 
   // ---- events in, actions out
 
-  /** Takes a list as an earlier run held it. Before the start. */
+  /** Takes a list as an earlier run held it. On the loop, before any from the source. */
   public void remember(ServerList list) {
     listed(list, true);
   }
--- a/src/main/java/gapproxy/platform/PlatformNode.java
+++ b/src/main/java/gapproxy/platform/PlatformNode.java
@@ -5,12 +5,15 @@
 import gapproxy.gateway.Terms;
 import gapproxy.http.Caps;
 import gapproxy.http.HttpClient;
+import gapproxy.list.ListSource;
 import gapproxy.list.ServerList;
 import gapproxy.runtime.LiveLoop;
 import gapproxy.runtime.LiveNet;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -27,6 +30,7 @@
   private final LiveLoop loop;
   private final LiveNet net;
   private final Gateway gateway;
+  private final CountDownLatch told = new CountDownLatch(1);  // the first list came from discovery
   private Watch watch;
 
   /** A configuration that can't be used; the message names the place. */
@@ -55,15 +59,23 @@
         STREAM_GAP, stop, half * 9 / 10, true);
     gateway = new Gateway(terms, loop, new PlatformClients(c.listen(), loop, net, caps, w), new PlatformServers(http, w),
         listener -> {
-          watch = new Watch(c.discovery(), http, loop, w.connectWithin(), members, listener);
+          watch = new Watch(c.discovery(), http, loop, w.connectWithin(), members, new ListSource.Listener() {
+            @Override
+            public void list(ServerList l) {
+              told.countDown();
+              listener.list(l);
+            }
+
+            @Override
+            public void failed(String why) {
+              listener.failed(why);
+            }
+          });
           return watch;
         }, null, null, c.seed());
     ServerList known = members.list(c.known());
     IOException[] failed = new IOException[1];
     loop.call(() -> {
-      if (known != null) {
-        gateway.remember(new ServerList("", known.index(), true, known.servers()));
-      }
       try {
         gateway.start();
       } catch (IOException e) {
@@ -75,6 +87,25 @@
       loop.close();
       throw failed[0];
     }
+    remember(known);
+  }
+
+  /**
+   * Takes the list that the configuration holds, where discovery is silent. Guards against sends to what has drained since: what
+   * discovery has counts as told from a process's first moment.
+   */
+  private void remember(ServerList known) {
+    try {
+      if (known != null && !told.await(Watch.FIRST.toMillis(), TimeUnit.MILLISECONDS)) {
+        loop.call(() -> {
+          if (told.getCount() > 0) {
+            gateway.remember(new ServerList("", known.index(), true, known.servers()));
+          }
+        });
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   /**
--- a/src/main/java/gapproxy/platform/Watch.java
+++ b/src/main/java/gapproxy/platform/Watch.java
@@ -1,21 +1,22 @@
 package gapproxy.platform;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
 import gapproxy.http.HttpClient;
 import gapproxy.list.ListSource;
 import gapproxy.list.ServerList;
 import gapproxy.runtime.Loop;
-import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
 
-/** Discovery's watch: one answer that stays open, a JSON object a line. Belongs to one loop. */
+/**
+ * Discovery's watch: one answer that stays open, with JSON objects and, between them, signs of life. Belongs to one loop.
+ * What discovery has to tell counts as told 6 s later, so silence, the next calls and the waits between them stay well inside that.
+ */
 final class Watch implements ListSource {
+  static final Duration FIRST = Duration.ofMillis(500);       // the agent is on this machine and answers at once
   private static final Duration AGAIN = Duration.ofMillis(100);
-  private static final Duration SILENT = Duration.ofSeconds(6); // thrice the time between its signs of life
-  private static final int LONGEST_LINE = 4 << 20;
+  private static final Duration SILENT = Duration.ofSeconds(3); // half as long again as the time between signs of life
 
   private final HttpClient http;
   private final Loop loop;
@@ -66,7 +67,7 @@
       call.cancel();
     }
     int mine = ++round;
-    ByteArrayOutputStream line = new ByteArrayOutputStream();
+    Objects objects = new Objects();
     call = http.call(at, "GET", Wire.HOSTS + "?stream=1" + (index < 0 ? "" : "&index=" + index), Map.of(), new byte[0],
         connectWithin, new HttpClient.Listener() {
           private boolean well;
@@ -81,15 +82,15 @@
             if (mine != round || !well) {
               return;
             }
-            await();
-            for (byte b : bytes) {
-              if (b == '\n') {
-                byte[] whole = line.toByteArray();
-                line.reset();
+            await(SILENT);
+            try {
+              for (byte[] whole : objects.take(bytes)) {
                 take(whole);
-              } else if (line.size() < LONGEST_LINE) {
-                line.write(b);
               }
+            } catch (IOException e) {
+              index = -1;                                     // what it said is not known: all of it is asked for
+              call.cancel();
+              again("it can't be read: " + e.getMessage());
             }
           }
 
@@ -105,12 +106,12 @@
             }
           }
         });
-    await();
+    await(FIRST);
   }
 
   /** Guards against a watch that died without a word. */
-  private void await() {
-    set(SILENT, this::open);
+  private void await(Duration span) {
+    set(span, this::open);
   }
 
   private void again(String why) {
@@ -126,22 +127,11 @@
     timer = closed ? null : loop.after(span, then);
   }
 
-  private void take(byte[] text) {
-    if (text.length == 0 || text.length == 1 && text[0] == '\r') {
-      return;                                                 // a sign of life
-    }
-    try {
-      JsonNode json = PlatformConfig.JSON.readTree(text);
-      ServerList l = members.list(json);
-      if (l != null) {
-        index = l.index();
-        listener.list(l);
-      }
-    } catch (JsonProcessingException e) {
-      index = -1;                                             // what it said is not known: all of it is asked for
-      open();
-    } catch (java.io.IOException e) {
-      throw new java.io.UncheckedIOException(e);
+  private void take(byte[] text) throws IOException {
+    ServerList l = members.list(PlatformConfig.JSON.readTree(text));
+    if (l != null) {
+      index = l.index();
+      listener.list(l);
     }
   }
 
--- a/src/main/java/gapproxy/standin/PlatformSite.java
+++ b/src/main/java/gapproxy/standin/PlatformSite.java
@@ -128,6 +128,10 @@
   public final Map<String, Integer> asked = new HashMap<>();
   public Script script;
   public boolean localReads = true;
+  /** Whether lists come on many lines. */
+  public boolean indented;
+  /** Whether discovery is down: it takes connections and says nothing. */
+  public boolean silent;
   private final List<Exchange> watches = new ArrayList<>();
   private HttpServer discovery;
   private int seq = 1;
@@ -159,9 +163,11 @@
     HttpServer before = discovery;
     discovery = HttpServer.open(loop, net, new InetSocketAddress("127.0.0.1", 0), Caps.DEFAULT, (x, decoded) -> {
       asked.merge("watch", 1, Integer::sum);
-      x.begin(200, JSON);
-      x.write(hosts(models) + "\n");
-      watches.add(x);
+      if (!silent) {
+        x.begin(200, JSON);
+        say(x, hosts(models));
+        watches.add(x);
+      }
     });
     if (before != null) {
       before.kill();
@@ -176,7 +182,16 @@
   public void tell(Model m, String health) {
     seq++;
     m.health = health;
-    watches.forEach(x -> x.write("{\"seq\":" + seq + ",\"whole\":false,\"hosts\":[" + host(m) + "]}\n"));
+    watches.forEach(x -> say(x, "{\"seq\":" + seq + ",\"whole\":false,\"hosts\":[" + host(m) + "]}"));
+  }
+
+  /** The watches that are open stay open and bring nothing more. */
+  public void forgetWatches() {
+    watches.clear();
+  }
+
+  private void say(Exchange x, String list) {
+    x.write((indented ? list.replace("{", "{\n  ").replace(",", ",\n  ") : list) + "\n");
   }
 
   private String hosts(List<Model> of) {
--- a/src/test/java/gapproxy/platform/PlatformTest.java
+++ b/src/test/java/gapproxy/platform/PlatformTest.java
@@ -263,12 +263,55 @@
     node.reload("no configuration".getBytes(StandardCharsets.UTF_8)); // changes nothing
     node.reload(config());
     assertTrue(holds(() -> site.asked.getOrDefault("watch", 0) >= 2));
+    assertTrue(drainIsTaken(1000));
+  }
+
+  /** All servers drain; whether the gateway has heard of it within some milliseconds. */
+  private boolean drainIsTaken(int within) throws Exception {
     loop.call(() -> site.models.forEach(m -> site.tell(m, "draining")));
-    String a = "";
-    for (int i = 0; i < 100 && status(a) != 503; i++) {       // bounded: until the list has come
-      a = ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+    long until = System.nanoTime() + within * 1_000_000L;
+    int up = 200;
+    while (up != 503 && System.nanoTime() < until) {
+      up = status(ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n"));
     }
-    assertEquals(503, status(a), "no server is ready any longer");
+    return up == 503;
+  }
+
+  @Test
+  void listsOnManyLinesAreTaken() throws Exception {
+    loop.call(() -> site.indented = true);
+    node.close();
+    node = PlatformNode.start(config());
+    assertTrue(drainIsTaken(1000));
+    assertEquals(2, site.asked.get("watch"), "one watch for each gateway");
+  }
+
+  @Test
+  void aWatchThatFellSilentIsOpenedAnewWellInsideSixSeconds() throws Exception {
+    assertTrue(holds(() -> site.asked.getOrDefault("watch", 0) == 1));
+    loop.call(site::forgetWatches);
+    assertTrue(drainIsTaken(4500));
+  }
+
+  @Test
+  void aWatchThatWasNeverAnsweredIsOpenedAnewAtOnce() throws Exception {
+    loop.call(() -> site.silent = true);
+    node.close();
+    node = PlatformNode.start(config());
+    assertEquals(200, status(ask(req("w1"))), "the list that it had holds meanwhile");
+    loop.call(() -> site.silent = false);
+    assertTrue(drainIsTaken(1500));
+  }
+
+  @Test
+  void whatDrainedBeforeTheStartIsNotTakenFromTheOldList() throws Exception {
+    byte[] old = config();
+    loop.call(() -> site.models.forEach(m -> site.tell(m, "draining")));
+    node.close();
+    node = PlatformNode.start(old);
+    assertEquals(503, status(ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n")));
+    assertEquals(503, status(ask(req("w2"))));
+    assertFalse(site.asked.containsKey("POST /v1/chat/completions"), "a drained server was asked");
   }
 
   @Test
