--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -322,7 +322,7 @@
       } else if (note instanceof Note.Begun b && running.contains(b.t())) {
         learn(b.t());
         begun(b.t());
-        judge(true, b.t(), b.took());
+        judge(true, b.t(), b.took(), true);
       } else if (note instanceof Note.Over o && running.contains(o.t())) {
         over(o.t(), o.how());
       } else if (note instanceof Note.Asked a) {
@@ -413,16 +413,17 @@
     }
 
     private void over(Try t, Event.Ended how) {
+      boolean waited = unbegun.contains(t);
       out(t);
       heard(how.report());
       switch (how.outcome()) {
         case READ -> {
           learn(t);
-          judge(true, t, how.took());
+          judge(true, t, how.took(), true);
         }
         case DONE -> trust(t, how.note());
         case FULL -> fullAt = how.note() == 1 ? fullAt : now;
-        case NO_CONNECTION, BROKEN, ERROR, TIMED_OUT -> judge(false, t, now.minus(t.sentAt));
+        case NO_CONNECTION, BROKEN, ERROR, TIMED_OUT -> judge(false, t, now.minus(t.sentAt), waited);
         default -> { }
       }
     }
@@ -453,11 +454,12 @@
     /**
      * Health. Guards against servers that fail, fall silent or can't be reached, whatever the cause: one that
      * does badly is set aside and gets a trickle that doubles while it goes well. Never most of a role, since
-     * then the trouble lies elsewhere. It could harm where short bad luck looks like a fault.
+     * then the trouble lies elsewhere. It could harm where short bad luck looks like a fault. A stream that breaks
+     * after it began did not wait: its length would pass as the wait of its whole role.
      */
-    private void judge(boolean well, Try t, Duration took) {
+    private void judge(boolean well, Try t, Duration took, boolean waited) {
       went.add(well ? 0 : 1, 1);
-      if (well || !mute) {
+      if (waited && (well || !mute)) {
         (t.moved ? moves : pool().waits).add(pool().excess(t, took), WAITS_KEPT);
       }
       mute &= !well;
--- a/src/test/java/gapproxy/RulesTest.java
+++ b/src/test/java/gapproxy/RulesTest.java
@@ -627,4 +627,13 @@
     tell(w, Map.of(4L, 0.8));                                 // most room where reqs hang
     assertEquals(List.of(4L), next.forwards.stream().map(f -> f.server).toList());
   }
+
+  @Test
+  void streamsThatBreakAfterTheyBeganTellNothingOfWaits() {
+    World w = ready();
+    List<Fwd> streams = LongStream.rangeClosed(1, 8).mapToObj(i -> run(w, w.accept(0, i, 0, 200, 0, BUDGET))).toList();
+    w.now = w.now.plus(World.ms(5000));
+    streams.forEach(f -> w.end(f, Outcome.BROKEN, 0));
+    assertEquals(1, w.accept(0, 99, 0, 200, 0, BUDGET).forwards.size(), "turned away for waits that were none");
+  }
 }
