--- a/src/main/java/gapproxy/platform/PlatformNode.java
+++ b/src/main/java/gapproxy/platform/PlatformNode.java
@@ -42,7 +42,7 @@
     }
   }
 
-  private PlatformNode(PlatformConfig c) throws IOException {
+  private PlatformNode(PlatformConfig c) throws IOException, InterruptedException {
     loop = new LiveLoop(c.name());
     net = new LiveNet(c.name() + "-net", 1);
     WireSettings w = c.wire();
@@ -94,17 +94,13 @@
    * Takes the list that the configuration holds, where discovery is silent. Guards against sends to what has drained since: what
    * discovery has counts as told from a process's first moment.
    */
-  private void remember(ServerList known) {
-    try {
-      if (known != null && !told.await(Watch.FIRST.toMillis(), TimeUnit.MILLISECONDS)) {
-        loop.call(() -> {
-          if (told.getCount() > 0) {
-            gateway.remember(new ServerList("", known.index(), true, known.servers()));
-          }
-        });
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+  private void remember(ServerList known) throws InterruptedException {
+    if (known != null && !told.await(Watch.FIRST.toMillis(), TimeUnit.MILLISECONDS)) {
+      loop.call(() -> {
+        if (told.getCount() > 0) {
+          gateway.remember(new ServerList("", known.index(), true, known.servers()));
+        }
+      });
     }
   }
 
@@ -113,7 +109,7 @@
    *
    * @throws IOException if its port can't be bound
    */
-  public static PlatformNode start(byte[] config) throws Bad, IOException {
+  public static PlatformNode start(byte[] config) throws Bad, IOException, InterruptedException {
     return new PlatformNode(PlatformConfig.parse(config));
   }
 
