--- a/src/main/java/gapproxy/gateway/Held.java
+++ b/src/main/java/gapproxy/gateway/Held.java
@@ -49,6 +49,7 @@
   /**
    * One state or place that is to be freed. The first calls overlap and each may take the whole release time: an engine that is slow to
    * open connections would else see only calls given up too early. Later ones follow one another until the engine hears again.
+   * Of other servers those are asked first that were heard lately: a cut takes many away at once, and the state's own is one of them.
    */
   private final class Freeing {
     private final InetSocketAddress at;
@@ -80,8 +81,8 @@
         return;
       }
       Duration begun = loop.now();
-      List<InetSocketAddress> more = anywhere && calls % 2 == 0 ? others.apply(at) : List.of();
-      InetSocketAddress to = more.isEmpty() ? at : more.get(calls / 2 % more.size());
+      List<InetSocketAddress> more = anywhere && calls % 2 == 0 ? servers.likeliestFirst(others.apply(at)) : List.of();
+      InetSocketAddress to = more.isEmpty() ? at : more.get((calls / 2 - 1) % more.size());
       servers.free(to, id, early ? within : each.multipliedBy(2), (well, any) -> {
         if (over) {
           return;
--- a/src/main/java/gapproxy/gateway/Servers.java
+++ b/src/main/java/gapproxy/gateway/Servers.java
@@ -4,6 +4,7 @@
 import gapproxy.http.HttpClient;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.function.BiConsumer;
 
 /** The servers' side of a gateway: carries out what was decided, and tells what came of it. On the loop. */
@@ -58,6 +59,11 @@
   HttpClient.Call write(InetSocketAddress to, String id, Client of, Duration within, String place, Object state,
       Writing then);
 
+  /** The same addresses, those first that are likeliest to be reached. */
+  default List<InetSocketAddress> likeliestFirst(List<InetSocketAddress> of) {
+    return of;
+  }
+
   /** Asks how a server stands; no figures where it does not tell, a verdict where it does not answer. */
   void probe(InetSocketAddress to, BiConsumer<double[], Verdict> then);
 
--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -75,6 +76,7 @@
   private final Net net;
   private final Duration idle;
   private final Map<InetSocketAddress, ArrayDeque<Wire>> pool = new HashMap<>();
+  private final Map<InetSocketAddress, Duration> heard = new HashMap<>(); // when an answer, or some of it, last came
   private final int most;
   private Rest doubted;
   private int opened, open;
@@ -144,8 +146,14 @@
     return false;
   }
 
-  /** Closes the connections that wait in the pool, all or those to one address. */
+  /** The same addresses, those first that something came from most lately. */
+  public List<InetSocketAddress> lastHeardFirst(List<InetSocketAddress> of) {
+    return of.stream().sorted(Comparator.comparing(a -> heard.getOrDefault(a, Duration.ZERO), Comparator.reverseOrder())).toList();
+  }
+
+  /** Closes the connections that wait in the pool, all or those to one address, which is then forgotten. */
   public void closeIdle(InetSocketAddress to) {
+    heard.remove(to);
     pool.forEach((address, wires) -> {
       if (to == null || address.equals(to)) {
         wires.forEach(w -> w.connection.closeSilently());
@@ -444,6 +452,7 @@
       boolean keep = last && keeps(p);
       loop.execute(() -> {
         Call c = w.call;
+        heard.put(w.to, loop.now());
         if (c == null) {
           w.connection.closeSilently();                       // nothing was asked: no use is safe any longer
           return;
--- a/src/main/java/gapproxy/platform/PlatformServers.java
+++ b/src/main/java/gapproxy/platform/PlatformServers.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
 
@@ -153,6 +154,11 @@
     return new Verdict(kind, status, NONE, "status " + status);
   }
 
+  @Override
+  public List<InetSocketAddress> likeliestFirst(List<InetSocketAddress> of) {
+    return http.lastHeardFirst(of);
+  }
+
   @Override
   public void probe(InetSocketAddress to, BiConsumer<double[], Verdict> then) {
     http.whole(to, "GET", Wire.LOAD_PROBE, Map.of(), NONE, wire.connectWithin(), wire.connectWithin().multipliedBy(2),
--- /dev/null
+++ b/src/test/java/gapproxy/gateway/HeldTest.java
@@ -0,0 +1,87 @@
+package gapproxy.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import gapproxy.engine.Verdict;
+import gapproxy.http.HttpClient;
+import gapproxy.runtime.LiveLoop;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.junit.jupiter.api.Test;
+
+class HeldTest {
+  private static final Duration WITHIN = Duration.ofMillis(200);
+
+  private static InetSocketAddress at(int port) {
+    return new InetSocketAddress("127.0.0.1", port);
+  }
+
+  /** Of servers 1 to 6 the last alone is reached, and was heard last. */
+  private static final class Cut implements Servers {
+    private final List<Integer> asked = new ArrayList<>();
+    private final CountDownLatch reached = new CountDownLatch(1);
+
+    @Override
+    public List<InetSocketAddress> likeliestFirst(List<InetSocketAddress> of) {
+      return of.stream().sorted((a, b) -> b.getPort() - a.getPort()).toList();
+    }
+
+    @Override
+    public void free(InetSocketAddress to, String id, Duration within, Released then) {
+      asked.add(to.getPort());
+      if (to.getPort() == 6) {
+        reached.countDown();
+        then.then(true, true);
+      }
+    }
+
+    @Override
+    public HttpClient.Call read(InetSocketAddress to, String id, Client of, Duration within, Reading then) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public HttpClient.Call write(InetSocketAddress to, String id, Client of, Duration within, String place, Object state,
+        Writing then) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void probe(InetSocketAddress to, BiConsumer<double[], Verdict> then) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void hold(InetSocketAddress to, String id, Client of, Duration within, BiConsumer<Boolean, Boolean> then) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void forget(InetSocketAddress to) {
+    }
+
+    @Override
+    public void close() {
+    }
+  }
+
+  @Test
+  void whatACutServerHoldsIsFreedByTheOneHeardLastAndInTime() throws Exception {
+    LiveLoop loop = new LiveLoop("held");
+    Cut cut = new Cut();
+    List<InetSocketAddress> others = List.of(at(2), at(3), at(4), at(5), at(6));
+    Held held = new Held(cut, loop, WITHIN, than -> others);
+    loop.execute(() -> held.freeLater(at(1), "x", true));
+    boolean inTime = cut.reached.await(WITHIN.toMillis(), TimeUnit.MILLISECONDS);
+    List<Integer> asked = new ArrayList<>();
+    loop.call(() -> asked.addAll(cut.asked));
+    loop.close();
+    assertEquals(List.of(1, 6), asked);
+    assertEquals(true, inTime);
+  }
+}
