--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -454,8 +454,8 @@
     /**
      * Health. Guards against servers that fail, fall silent or can't be reached, whatever the cause: one that
      * does badly is set aside and gets a trickle that doubles while it goes well. Never most of a role, since
-     * then the trouble lies elsewhere. It could harm where short bad luck looks like a fault. A stream that breaks
-     * after it began did not wait: its length would pass as the wait of its whole role.
+     * then the trouble lies elsewhere. It could harm where short bad luck looks like a fault. A stream that
+     * breaks after it began did not wait: its length would pass as the wait of its whole role.
      */
     private void judge(boolean well, Try t, Duration took, boolean waited) {
       went.add(well ? 0 : 1, 1);
