Signals before the first list are taken

Cause, by reading and then seen: PlatformNode.start opens its port and waits up to 0.5 s for discovery's first list; NodeCommand set its handlers only after that, so SIGTERM or SIGHUP in between ended the process by the JVM's default with what it had in hand.

Change: the handlers are set before the start and wait for its end.

Result: SignalCrossingsTest, a process of its own with discovery silent; against the handlers as they were: connection reset after SIGHUP.

--- a/src/main/java/gapproxy/cli/NodeCommand.java
+++ b/src/main/java/gapproxy/cli/NodeCommand.java
@@ -46,24 +46,44 @@
     }
     Path file = Path.of(named);
     Logs.plain(level);
-    PlatformNode node;
+    CountDownLatch started = new CountDownLatch(1);
+    CountDownLatch stopped = new CountDownLatch(1);
+    PlatformNode[] node = new PlatformNode[1];
+    handleSignals(file, started, stopped, node);
     try {
-      node = PlatformNode.start(Files.readAllBytes(file));
+      node[0] = PlatformNode.start(Files.readAllBytes(file));
     } catch (PlatformNode.Bad e) {
       throw new Main.Failure(file + ": " + e.getMessage());
     } catch (IOException e) {
       throw new Main.Failure("can't start from " + file + ": " + e.getMessage());
     }
-    CountDownLatch stopped = new CountDownLatch(1);
+    started.countDown();
+    stopped.await();
+    return 0;
+  }
+
+  /**
+   * Takes signals from the first moment: the port is open before the first list is there, and a signal that nobody takes would end
+   * the process with what it has in hand. Each runs on a thread of its own and waits for the start to be over.
+   */
+  private static void handleSignals(Path file, CountDownLatch started, CountDownLatch stopped, PlatformNode[] node) {
     Signal.handle(new Signal("HUP"), s -> {
       try {
-        node.reload(Files.readAllBytes(file));
+        started.await();
+        node[0].reload(Files.readAllBytes(file));
       } catch (IOException e) {
         System.err.println("can't read " + file + ": " + e.getMessage());
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+    Signal.handle(new Signal("TERM"), s -> {
+      try {
+        started.await();
+        node[0].stop(stopped::countDown);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
       }
     });
-    Signal.handle(new Signal("TERM"), s -> node.stop(stopped::countDown));
-    stopped.await();
-    return 0;
   }
 }
--- /dev/null
+++ b/src/test/java/gapproxy/platform/SignalCrossingsTest.java
@@ -0,0 +1,85 @@
+package gapproxy.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gapproxy.runtime.LiveLoop;
+import gapproxy.runtime.LiveNet;
+import gapproxy.standin.PlatformSite;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Signals that come before the first list: a process of its own, with discovery silent. */
+class SignalCrossingsTest {
+  @TempDir
+  private Path folder;
+
+  @Test
+  void signalsBeforeTheFirstListEndNothingInHand() throws Exception {
+    LiveLoop loop = new LiveLoop("site");
+    LiveNet net = new LiveNet("site-net", 1);
+    PlatformSite[] site = new PlatformSite[1];
+    int port;
+    try (ServerSocket free = new ServerSocket(0)) {
+      port = free.getLocalPort();
+    }
+    String[] config = new String[1];
+    loop.call(() -> {
+      try {
+        site[0] = new PlatformSite(loop, net, 1, 1, Duration.ofMillis(2), 2);
+        site[0].silent = true;
+        config[0] = site[0].config("127.0.0.1:" + port);
+      } catch (IOException e) {
+        throw new java.io.UncheckedIOException(e);
+      }
+    });
+    Path file = Files.writeString(folder.resolve("config.json"), config[0]);
+    ProcessBuilder b = new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-XX:TieredStopAtLevel=1", "-cp",
+        System.getProperty("java.class.path"), "gapproxy.cli.Main", "node").redirectErrorStream(true);
+    b.environment().put("LB_CONFIG", file.toString());
+    Process node = b.start();
+    try (Socket s = open(port)) {
+      signal(node, "HUP");
+      s.getOutputStream().write("GET /up HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+      assertEquals('H', s.getInputStream().read(), "it is there after SIGHUP");
+      signal(node, "TERM");
+      assertTrue(node.waitFor(10, TimeUnit.SECONDS));
+      assertEquals(0, node.exitValue(), new String(node.getInputStream().readAllBytes(), StandardCharsets.UTF_8));
+    } finally {
+      node.destroyForcibly();
+      loop.call(site[0]::close);
+      loop.close();
+      net.close();
+    }
+  }
+
+  /** Connects as soon as the port is open. */
+  private static Socket open(int port) throws Exception {
+    for (int i = 0; i < 4000; i++) {
+      Socket s = new Socket();
+      try {
+        s.connect(new InetSocketAddress("127.0.0.1", port));
+        s.setSoTimeout(5_000);
+        return s;
+      } catch (IOException e) {
+        s.close();
+        new CountDownLatch(1).await(5, TimeUnit.MILLISECONDS);
+      }
+    }
+    throw new IOException("the port did not open");
+  }
+
+  private static void signal(Process to, String name) throws Exception {
+    new ProcessBuilder("kill", "-" + name, Long.toString(to.pid())).start().waitFor();
+  }
+}
