--- a/src/main/java/gapproxy/platform/Members.java
+++ b/src/main/java/gapproxy/platform/Members.java
@@ -7,12 +7,17 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
 import java.util.zip.CRC32;
 
 /** Lists of model servers in discovery's form. Keeps which number stands for which name; belongs to one loop. */
 final class Members {
+  private static final Pattern NUMBERS = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:.]+\\]");
+
   private final Map<String, Long> numbers = new HashMap<>();
   private final Map<Long, String> names = new HashMap<>();
 
@@ -23,6 +28,8 @@
       return null;
     }
     List<ServerList.Entry> entries = new ArrayList<>();
+    boolean whole = from.path("whole").asBoolean(false);
+    Set<String> named = new HashSet<>();
     for (JsonNode h : hosts) {
       InetSocketAddress dial = address(h.path("dial").asText(""));
       ServerList.State state = switch (h.path("health").asText("")) {
@@ -35,13 +42,18 @@
       if (name.isEmpty() || state == null || dial == null && state != ServerList.State.GONE) {
         continue;
       }
+      named.add(name);
       long born = h.path("born_ms").asLong(0);
       double share = h.path("share").asDouble(1);
       entries.add(new ServerList.Entry(number(name), dial == null ? new InetSocketAddress("127.0.0.1", 9) : dial,
           h.path("site").asText(""), h.path("block").asText(""), h.path("class").asText(""), state, share > 0 ? share : 1,
           born <= 0 ? null : Instant.ofEpochMilli(born)));
     }
-    return new ServerList("", from.path("seq").asLong(0), from.path("whole").asBoolean(false), List.copyOf(entries));
+    if (whole) {                                              // names are ever new
+      numbers.keySet().retainAll(named);
+      names.values().retainAll(named);
+    }
+    return new ServerList("", from.path("seq").asLong(0), whole, List.copyOf(entries));
   }
 
   /** The same at every gateway, since choices by hash are to agree; the next one free where two names would share it. */
@@ -69,8 +81,11 @@
   /** The same, or port 0, which takes any free one. */
   static InetSocketAddress bindable(String s) {
     int colon = s.lastIndexOf(':');
+    if (colon < 1 || !NUMBERS.matcher(s.substring(0, colon)).matches()) {
+      return null;                                            // a name would be looked up, and hold the loop up
+    }
     try {
-      int port = colon < 1 ? -1 : Integer.parseInt(s.substring(colon + 1));
+      int port = Integer.parseInt(s.substring(colon + 1));
       return port < 0 || port > 65535 ? null : new InetSocketAddress(s.substring(0, colon), port);
     } catch (NumberFormatException e) {
       return null;
--- a/src/main/java/gapproxy/platform/Objects.java
+++ b/src/main/java/gapproxy/platform/Objects.java
@@ -12,6 +12,11 @@
   private int depth;
   private boolean text, escaped;
 
+  /** Whether an object has begun and not ended. */
+  boolean amid() {
+    return depth > 0;
+  }
+
   /**
    * Takes the next bytes, cut anywhere.
    *
--- a/src/main/java/gapproxy/platform/Watch.java
+++ b/src/main/java/gapproxy/platform/Watch.java
@@ -70,7 +70,7 @@
     Objects objects = new Objects();
     call = http.call(at, "GET", Wire.HOSTS + "?stream=1" + (index < 0 ? "" : "&index=" + index), Map.of(), new byte[0],
         connectWithin, new HttpClient.Listener() {
-          private boolean well;
+          private boolean well, listed;
 
           @Override
           public void head(int status, Map<String, String> headers) {
@@ -82,10 +82,14 @@
             if (mine != round || !well) {
               return;
             }
-            await(SILENT);
             try {
               for (byte[] whole : objects.take(bytes)) {
-                take(whole);
+                listed |= take(whole);
+              }
+              if (listed) {
+                await(SILENT);
+              } else if (objects.amid()) {
+                awaitFirst();                                 // signs of life alone are not what is waited for
               }
             } catch (IOException e) {
               index = -1;                                     // what it said is not known: all of it is asked for
@@ -106,7 +110,15 @@
             }
           }
         });
-    await(FIRST);
+    awaitFirst();
+  }
+
+  /** Guards against an answer that never gives a list: all of it is asked for then, whatever it would say to the last version. */
+  private void awaitFirst() {
+    set(FIRST, () -> {
+      index = -1;
+      open();
+    });
   }
 
   /** Guards against a watch that died without a word. */
@@ -127,12 +139,17 @@
     timer = closed ? null : loop.after(span, then);
   }
 
-  private void take(byte[] text) throws IOException {
+  /** Whether it is a list, or changes of one. */
+  private boolean take(byte[] text) throws IOException {
     ServerList l = members.list(PlatformConfig.JSON.readTree(text));
-    if (l != null) {
-      index = l.index();
-      listener.list(l);
+    if (l == null) {
+      return false;
+    } else if (!l.complete() && l.index() < index) {
+      throw new IOException("changes of version " + l.index() + " after version " + index); // discovery has begun anew
     }
+    index = l.index();
+    listener.list(l);
+    return true;
   }
 
   @Override
