What waited for its connection is asked again before it is sent

Bytes on a resting connection were kept for the next answer. Commands past 16 stopped the reading, so a client that left was not seen. A stop killed answers that were still being written, and sent on what came after the time of new connections. Servers that went stayed in the maps.

Change: HttpClient.Listener.wanted and headers made at the write; Gateway.mayBegin; Action.Forward.latest; doubts by server, freed when the stream has ended; drops after the step's forwards; resting connections end with any byte; 256 commands or 1 MB may wait; the client's time runs from its last byte; the stop waits until all connections are closed; gone servers are forgotten after a minute.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -58,6 +58,7 @@
   private static final Duration ASK_AGAIN = Duration.ofMillis(250);
   private static final Duration REPORT_LAG = Duration.ofMillis(400);
   private static final Duration REPORT_OLD = Duration.ofSeconds(3);
+  private static final Duration GONE_KEPT = Duration.ofMinutes(1); // far past any start's time to get warm
 
   private final Settings set;
   private final boolean probing;                              // all servers are asked: silence tells
@@ -153,6 +154,7 @@
     pools.forEach((role, p) -> p.beat(beats % BEATS_TO_HALVE == 0,
         (int) servers.values().stream().filter(s -> s.role() == role && s.ready() && !s.cold()).count(),
         (int) servers.values().stream().filter(s -> s.role() == role && s.ready()).count()));
+    servers.values().removeIf(s -> s.running.isEmpty() && s.goneAt != null && now.minus(s.goneAt).compareTo(GONE_KEPT) > 0);
     servers.values().forEach(s -> mail.post(s, new Note.Beat(beats % BEATS_TO_HALVE == 0)));
     cells.count(servers.values().stream().filter(s -> s.ready() && !s.aside).toList(), Server::strength);
   }
@@ -209,6 +211,7 @@
     final Deque<Duration> sends = new ArrayDeque<>();         // when, as far back as a cold one feels them
     final List<Req> askers = new ArrayList<>();
     Duration heardAt, fullAt, askedAt;
+    Duration goneAt;                                          // when it was first seen to be gone, null while it is there
     Duration since = Duration.ofNanos(-1);                    // sent till then: to an engine that is gone
     Duration nextProbe = Duration.ZERO, creditAt = now;
     double credit = chance.nextDouble();
@@ -501,6 +504,8 @@
 
     /** Probing: asks for reports that come no other way, and whether a server set aside answers again. */
     private void beat(boolean halve) {
+      boolean there = listed && line.state() != Event.State.GONE;
+      goneAt = there ? null : goneAt == null ? now : goneAt;
       if (set.limits().probes() && ready() && (aside && !probed || mute) && now.compareTo(nextProbe) >= 0) {
         out.add(new Action.Probe(id));
         nextProbe = now.plus(aside ? gap : FIRST_TRICKLE);
@@ -661,7 +666,9 @@
     r.tries.add(t);
     r.running++;
     Action.Path how = t.harmless ? Action.Path.READ : t.local || read ? Action.Path.LOCAL : Action.Path.WRITE;
-    out.add(new Action.Forward(r.in.req(), s.id, how, least(timeOut, r.left().minus(set.tick()))));
+    Duration latest = r.group.repeat() != Repeat.KEYED ? null : r.tries.stream().filter(Try::mayHaveRun)
+        .filter(before -> before != t).map(before -> before.sentAt.plus(r.group.window())).min(Duration::compareTo).orElse(null);
+    out.add(new Action.Forward(r.in.req(), s.id, how, least(timeOut, r.left().minus(set.tick())), latest));
     mail.post(s, new Note.Sent(t));
   }
 
--- a/src/main/java/gapproxy/engine/Engines.java
+++ b/src/main/java/gapproxy/engine/Engines.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 
 /**
  * Calls to engines in the form of vLLM's disaggregated serving. A read is a completion of one token with
@@ -43,6 +44,11 @@
 
   /** What becomes of a read. */
   public interface Reading {
+    /** Asked right before it is written, see {@link HttpClient.Listener#wanted}. */
+    default boolean wanted() {
+      return true;
+    }
+
     /** The state waits at the reader under these parameters; so many prompt tokens were found kept. */
     void read(JsonNode transfer, long keptTokens, long promptTokens);
 
@@ -51,6 +57,11 @@
 
   /** What becomes of a write. */
   public interface Writing {
+    /** Asked right before it is written, see {@link HttpClient.Listener#wanted}. */
+    default boolean wanted() {
+      return true;
+    }
+
     void chunk(Chunk chunk);
 
     /** No more chunks came with the same bytes. */
@@ -88,7 +99,12 @@
             JsonNode usage = json.path("usage");
             then.read(transfer, kept(usage), usage.path("prompt_tokens").asLong());
           }
-        }));
+        }) {
+          @Override
+          public boolean wanted() {
+            return then.wanted();
+          }
+        });
   }
 
   /** Asks a writer to answer, from a state that waits elsewhere or, where there is none, by reading itself. */
@@ -137,12 +153,13 @@
   }
 
   /** Asks a writer to hold a place for so many tokens; says whether it does, and whether that is sure. */
-  public void hold(InetSocketAddress to, String id, int tokens, Duration within, BiConsumer<Boolean, Boolean> then) {
+  public void hold(InetSocketAddress to, String id, int tokens, Duration within, BooleanSupplier wanted,
+      BiConsumer<Boolean, Boolean> then) {
     byte[] body = bytes(JsonNodeFactory.instance.objectNode().put("tokens", tokens));
-    limited(within, to, "PUT", "/v1/kv_transfer/" + id,
-        Map.of("x-gapproxy-gateway", gateway, "content-type", "application/json"), body,
-        (status, from, b, failure, why) -> then.accept(failure == null && status / 100 == 2,
-            failure == null || failure == HttpClient.Failure.NO_CONNECTION));
+    http.whole(to, "PUT", "/v1/kv_transfer/" + id,
+        Map.of("x-gapproxy-gateway", gateway, "content-type", "application/json"), body, connectWithin, within, LONGEST_EVENT,
+        wanted, (status, from, b, failure, why) -> then.accept(failure == null && status / 100 == 2,
+            failure == null || failure != HttpClient.Failure.BROKEN));
   }
 
   /** Closes the pooled connections to an address that is no longer in use. */
@@ -199,6 +216,11 @@
       this.then = then;
     }
 
+    @Override
+    public boolean wanted() {
+      return then.wanted();
+    }
+
     private void event(String data) {
       if (over) {
         return;
--- a/src/main/java/gapproxy/engine/Verdict.java
+++ b/src/main/java/gapproxy/engine/Verdict.java
@@ -20,7 +20,7 @@
     ERROR,
     /** No connection, so nothing was sent. */
     NO_CONNECTION,
-    /** This end had no connection left to give it; says nothing of the engine. */
+    /** This end had no connection to give it, or no use for it any longer; says nothing of the engine. */
     NOT_SENT,
     /** The connection ended before the answer did. */
     BROKEN
@@ -31,7 +31,7 @@
     return new Verdict(switch (how) {
       case NO_CONNECTION -> Kind.NO_CONNECTION;
       case BROKEN -> Kind.BROKEN;
-      case NO_ROOM -> Kind.NOT_SENT;
+      case NO_ROOM, NOT_WANTED -> Kind.NOT_SENT;
     }, 0, new byte[0], why);
   }
 
--- a/src/main/java/gapproxy/gateway/Client.java
+++ b/src/main/java/gapproxy/gateway/Client.java
@@ -10,7 +10,12 @@
 public interface Client {
   /** What the decisions are told; {@code session} and {@code shared} are 0 where there is none. */
   record Ask(int group, int customer, long session, Duration budget, long shared, double prompt, double sharedPart,
-      double maxAnswer) {}
+      double maxAnswer) {
+    /** The same with another budget. */
+    public Ask within(Duration left) {
+      return new Ask(group, customer, session, left, shared, prompt, sharedPart, maxAnswer);
+    }
+  }
 
   Ask ask();
 
--- a/src/main/java/gapproxy/gateway/EngineServers.java
+++ b/src/main/java/gapproxy/gateway/EngineServers.java
@@ -27,6 +27,11 @@
     ChatClients.Chat c = (ChatClients.Chat) of;
     then.sent();                                              // places here are known by ids of their own, read or not
     return engines.read(to, id, c.key, c.chat, new Engines.Reading() {
+      @Override
+      public boolean wanted() {
+        return then.wanted();
+      }
+
       @Override
       public void read(JsonNode transfer, long kept, long prompt) {
         then.read(transfer, kept, prompt);
@@ -44,6 +49,11 @@
       Writing then) {
     ChatClients.Chat c = (ChatClients.Chat) of;
     return engines.write(to, id, c.key, place, c.chat, (JsonNode) state, new Engines.Writing() {
+      @Override
+      public boolean wanted() {
+        return then.wanted();
+      }
+
       @Override
       public void chunk(Chunk chunk) {
         JsonNode usage = chunk.usage();
@@ -77,8 +87,8 @@
   }
 
   @Override
-  public void hold(InetSocketAddress to, String id, Client of, Duration within, BiConsumer<Boolean, Boolean> then) {
-    engines.hold(to, id, (int) of.ask().prompt(), within, then);
+  public void hold(InetSocketAddress to, String id, Client of, Duration within, Holding then) {
+    engines.hold(to, id, (int) of.ask().prompt(), within, then::wanted, then::answered);
   }
 
   @Override
--- a/src/main/java/gapproxy/gateway/Fleet.java
+++ b/src/main/java/gapproxy/gateway/Fleet.java
@@ -36,7 +36,10 @@
   private final Terms terms;
   private final Loop loop;
   private final Consumer<InetSocketAddress> unused;
+  private static final Duration GONE_KEPT = Duration.ofMinutes(1); // one that comes back within it is known again
+
   private final Map<Long, Server> servers = new HashMap<>();
+  private final Map<Long, Duration> gone = new HashMap<>();   // since when servers are in no list
   private final Map<Long, ServerList.Entry> listed = new TreeMap<>();
   private Duration lastList;                                  // when the last one came from its source, on the loop's clock
 
@@ -53,6 +56,13 @@
         .filter(a -> !a.equals(than)).toList();
   }
 
+  /** Whether a server takes new work still, and is the one that it was. */
+  boolean takes(Server s) {
+    ServerList.Entry now = listed.get(s.id());
+    return now != null && now.state() == ServerList.State.READY && now.address().equals(s.address())
+        && Objects.equals(now.upSince(), s.entry().upSince());
+  }
+
   Server get(long id) {
     return servers.get(id);
   }
@@ -94,17 +104,33 @@
       }
       if (e.state() == ServerList.State.GONE) {
         listed.remove(e.id());
-        unused.accept(e.address());
       } else {
         listed.put(e.id(), e);
       }
       lines.add(line(s, Event.State.valueOf(e.state().name())));
     }
+    forgetGone();
     lastList = remembered ? null : loop.now();
     return new Event.ServerList(remembered ? Event.ListForm.REMEMBERED
         : list.complete() ? Event.ListForm.COMPLETE : Event.ListForm.CHANGES, lines);
   }
 
+  /** Guards against names that are ever new: a whole list does not tell of what it lacks. */
+  private void forgetGone() {
+    Duration now = loop.now();
+    gone.keySet().removeAll(listed.keySet());
+    servers.values().stream().filter(s -> !listed.containsKey(s.id()) && !gone.containsKey(s.id())).forEach(s -> {
+      gone.put(s.id(), now);
+      unused.accept(s.address());
+    });
+    gone.entrySet().removeIf(e -> now.minus(e.getValue()).compareTo(GONE_KEPT) > 0 && servers.remove(e.getKey()) != null);
+  }
+
+  /** How many servers are known, those that went lately included. */
+  int known() {
+    return servers.size();
+  }
+
   private static Event.Line line(Server s, Event.State state) {
     return new Event.Line(s.id(), s.zone(), s.kind(), cell(s.entry()), state, s.entry().size(), s.up());
   }
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -56,6 +56,7 @@
   private final Counts counts = new Counts();
   private List<Event> pending = new ArrayList<>();
   private final List<Req> over = new ArrayList<>();           // to be forgotten after the next decisions
+  private final List<Req> dropped = new ArrayList<>();        // by the decisions of this step
   private final List<Req.Forward> unwritten = new ArrayList<>();
   private Duration stepped = Duration.ZERO;
   private long numbers;
@@ -194,6 +195,11 @@
     return reqs.size();
   }
 
+  /** Servers that are known, those included that went lately. */
+  int known() {
+    return fleet.known();
+  }
+
   /** Connections that clients have open. */
   public int connections() {
     return clients.connections();
@@ -268,6 +274,8 @@
       stepped = loop.now();
       now.replaceAll(e -> e instanceof Event.Accept a ? left(a) : e);
       rules.step(stepped, now).forEach(this::act);
+      dropped.forEach(this::drop);                            // not before the forwards of the same step, which may need it again
+      dropped.clear();
     }
     over.forEach(r -> reqs.remove(r.number, r));
     over.clear();
@@ -308,7 +316,7 @@
     } else if (a instanceof Action.Drop x) {
       Req r = reqs.get(x.req());
       if (r != null) {
-        drop(r);
+        dropped.add(r);
       }
     } else if (a instanceof Action.PushBack x) {
       pushBack(reqs.get(x.req()), x.retryIn());
@@ -340,10 +348,13 @@
       return;
     }
     Fleet.Server s = fleet.get(a.server());
-    Req.Forward f = new Req.Forward(r, s, a.path(), loop.now());
+    Req.Forward f = new Req.Forward(r, s, a.path(), loop.now(), a.latest());
     r.forwards.add(f);
     counts.forwards++;
-    if (r.answered) {                                         // its client left while the decisions were made
+    if (s == null) {
+      end(f, Outcome.NOT_SENT, 0, "the server is gone");
+      return;
+    } else if (r.answered) {                                         // its client left while the decisions were made
       end(f, Outcome.NOT_SENT, 0, "already answered");
       return;
     }
@@ -361,6 +372,11 @@
     Duration within = a.timeOut().minus(loop.now().minus(stepped));
     if (a.path() == Action.Path.READ) {
       f.call = servers.read(s.address(), f.id, r.client, within, new Servers.Reading() {
+        @Override
+        public boolean wanted() {
+          return mayBegin(f);
+        }
+
         @Override
         public void sent() {
           f.sentOut = true;
@@ -402,6 +418,14 @@
     }
   }
 
+  /**
+   * Whether a forward may still be sent. Guards against all that can happen while it waits for its connection: its client leaves, its
+   * server drains or is replaced, the time in which repeats are dropped runs out.
+   */
+  private boolean mayBegin(Req.Forward f) {
+    return f.out() && !f.req.answered && fleet.takes(f.at) && (f.latest == null || loop.now().compareTo(f.latest) < 0);
+  }
+
   /** The stream of one forward. */
   private final class Writer implements Servers.Writing {
     private final Req.Forward f;
@@ -413,6 +437,11 @@
       this.r = f.req;
     }
 
+    @Override
+    public boolean wanted() {
+      return mayBegin(f);
+    }
+
     @Override
     public void report(double[] figures) {
       f.report = figures;
@@ -490,7 +519,7 @@
     r.firstToken = loop.now().minus(r.taken);
     r.state = null;
     r.place = null;
-    r.unsure = null;
+    r.unsure.remove(f.at);                                    // what others may hold is freed when the stream has ended
     if (r.client.stream()) {
       r.limit.cancel();                                       // an answer that has begun has no deadline
       r.limit = loop.after(terms.longestAnswer(),
@@ -623,14 +652,14 @@
     if (r.client.id() == null) {
       held.freeLater(at.address(), id, false);
     } else {
-      r.unsure = at;
+      r.unsure.add(at);
     }
   }
 
   private void hold(Action.Hold a) {
     Req r = reqs.get(a.req());
     Fleet.Server s = fleet.get(a.server());
-    if (r == null || r.answered || s == null) {
+    if (r == null || r.answered || s == null || !fleet.takes(s)) {
       return;
     }
     Req.Forward last = r.forwards.isEmpty() ? null : r.forwards.get(r.forwards.size() - 1);
@@ -641,32 +670,44 @@
     leave(r);
     Req.Place p = new Req.Place(s, r.client.id() != null ? r.client.id() : r.name + "-p" + r.forwards.size());
     r.place = p;
-    servers.hold(s.address(), p.id(), r.client, terms.releaseWithin(), (well, sure) -> {
-      boolean wanted = r.place == p;
-      if (wanted && !well) {
-        r.place = null;
-      }
-      if (!sure) {
-        unsure(r, s, p.id());                                 // the answer may be lost and the place held
-      } else if (well && !wanted && r.client.id() == null) {
-        held.free(s.address(), p.id());                       // given up, or its stream begun, before it was held
-      } else if (well && !wanted) {
-        unsure(r, s, p.id());
+    servers.hold(s.address(), p.id(), r.client, terms.releaseWithin(), new Servers.Holding() {
+      @Override
+      public boolean wanted() {
+        return r.place == p && !r.answered && fleet.takes(s);
       }
-      if (r.client.id() != null && r.answered) {
-        drop(r);
+
+      @Override
+      public void answered(boolean well, boolean sure) {
+        held(r, p, well, sure);
       }
-      watcher.accept(r.stage().name(), well ? "place held" : "place refused");
     });
   }
 
+  private void held(Req r, Req.Place p, boolean well, boolean sure) {
+    boolean wanted = r.place == p;
+    if (wanted && !well) {
+      r.place = null;
+    }
+    if (!sure) {
+      unsure(r, p.at(), p.id());                             // the answer may be lost and the place held
+    } else if (well && !wanted && r.client.id() == null) {
+      held.free(p.at().address(), p.id());                   // given up, or its stream begun, before it was held
+    } else if (well && !wanted) {
+      unsure(r, p.at(), p.id());
+    }
+    if (r.client.id() != null && r.answered) {
+      drop(r);
+    }
+    watcher.accept(r.stage().name(), well ? "place held" : "place refused");
+  }
+
   /** Gives up the place that is held, unless a forward out there waits with it. */
   private void leave(Req r) {
     if (r.place != null) {
       if (r.client.id() == null) {
         held.free(r.place.at().address(), r.place.id());
       } else {
-        r.unsure = r.place.at();
+        r.unsure.add(r.place.at());
       }
       r.place = null;
     }
@@ -677,7 +718,7 @@
       if (r.client.id() == null) {
         held.free(r.state.at().address(), r.state.id());
       } else {
-        r.unsure = r.state.at();
+        r.unsure.add(r.state.at());
       }
       r.state = null;
     }
@@ -689,9 +730,9 @@
       if (!r.anyOut()) {
         leave(r);
         freeState(r);
-        if (r.unsure != null) {
-          held.freeLater(r.unsure.address(), r.client.id(), true);
-          r.unsure = null;
+        if (!r.unsure.isEmpty()) {
+          held.freeLater(r.unsure.iterator().next().address(), r.client.id(), true);
+          r.unsure.clear();
         }
       }
       return;
@@ -732,7 +773,11 @@
   }
 
   private static Object lastServer(Req r) {
-    return r.forwards.isEmpty() ? -1 : r.forwards.get(r.forwards.size() - 1).at.id();
+    return r.forwards.isEmpty() ? -1 : serverId(r.forwards.get(r.forwards.size() - 1));
+  }
+
+  private static long serverId(Req.Forward f) {
+    return f.at == null ? -1 : f.at.id();
   }
 
   private static String lastWhy(Req r) {
--- a/src/main/java/gapproxy/gateway/Req.java
+++ b/src/main/java/gapproxy/gateway/Req.java
@@ -7,7 +7,9 @@
 import gapproxy.runtime.Loop;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 /** One req in hand: what came, what is out for it, what is held for it. */
 final class Req {
@@ -19,6 +21,7 @@
     final Path path;
     final String id;                                          // what the engine knows it by
     final Duration sent;
+    final Duration latest;                                    // by when it must begin, or null
     HttpClient.Call call;
     Loop.Timer limit;
     Outcome how;
@@ -30,13 +33,14 @@
     long kept = -1;                                           // not told
     String why = "";
 
-    Forward(Req req, Fleet.Server at, Path path, Duration sent) {
+    Forward(Req req, Fleet.Server at, Path path, Duration sent, Duration latest) {
       this.req = req;
       this.number = req.forwards.size();
       this.at = at;
       this.path = path;
       this.id = req.client.id() != null ? req.client.id() : req.name + "-" + number;
       this.sent = sent;
+      this.latest = latest;
     }
 
     boolean out() {
@@ -60,7 +64,7 @@
   Forward begun;                                              // whose tokens go to the client
   Loop.Timer limit;
   Action.Hold wanted;                                         // until the read is sent
-  Fleet.Server unsure;                                        // something may be held for it there that no answer told of
+  final Set<Fleet.Server> unsure = new LinkedHashSet<>();     // something may be held for it there that no answer told of
   boolean answered;
   boolean paused;
   Duration firstToken, readEnd, lastChunk;
--- a/src/main/java/gapproxy/gateway/Servers.java
+++ b/src/main/java/gapproxy/gateway/Servers.java
@@ -16,8 +16,23 @@
     }
   }
 
+  /** What is asked of the gateway right before something is written, since it may have waited for a connection. */
+  interface Sending extends Telling {
+    /** Whether it is to be sent still: its client waits for it, and its server takes new work. */
+    boolean wanted();
+  }
+
+  /** What becomes of a place that is asked for. */
+  interface Holding extends Sending {
+    /**
+     * @param well whether it is held
+     * @param sure whether that is known; else it may be held all the same
+     */
+    void answered(boolean well, boolean sure);
+  }
+
   /** What becomes of a read. */
-  interface Reading extends Telling {
+  interface Reading extends Sending {
     /** All of the request is on its way. */
     void sent();
 
@@ -28,7 +43,7 @@
   }
 
   /** What becomes of a write. */
-  interface Writing extends Telling {
+  interface Writing extends Sending {
     /** The next piece of the answer; whether it holds a part of the answer itself, or its end. */
     void piece(Object piece, boolean begins);
 
@@ -67,8 +82,8 @@
   /** Asks how a server stands; no figures where it does not tell, a verdict where it does not answer. */
   void probe(InetSocketAddress to, BiConsumer<double[], Verdict> then);
 
-  /** Asks a writer to hold a place; says whether it does, and whether that is sure. */
-  void hold(InetSocketAddress to, String id, Client of, Duration within, BiConsumer<Boolean, Boolean> then);
+  /** Asks a writer to hold a place. */
+  void hold(InetSocketAddress to, String id, Client of, Duration within, Holding then);
 
   /** Frees what a server holds for an id. */
   void free(InetSocketAddress to, String id, Duration within, Released then);
--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -38,11 +40,18 @@
     /** The connection ended before the response did. */
     BROKEN,
     /** As many connections are open as may be, so nothing was sent. */
-    NO_ROOM
+    NO_ROOM,
+    /** By the time that it had a connection nobody wanted it any longer, so nothing was sent. */
+    NOT_WANTED
   }
 
   /** What becomes of a call; all of it on the loop, and nothing after {@link #end}, {@link #failed} or a cancel. */
   public interface Listener {
+    /** Asked right before the request is written: it may have waited for its connection. If not, nothing is sent. */
+    default boolean wanted() {
+      return true;
+    }
+
     /** All of the request is on its way. */
     default void sent() {
     }
@@ -102,6 +111,12 @@
   /** Sends a request, on a pooled connection if there is one. */
   public Call call(InetSocketAddress to, String method, String path, Map<String, String> headers, byte[] body,
       Duration connectWithin, Listener listener) {
+    return call(to, method, path, () -> headers, body, connectWithin, listener);
+  }
+
+  /** @param headers made when the request is written, which may be some time later */
+  public Call call(InetSocketAddress to, String method, String path, Supplier<Map<String, String>> headers, byte[] body,
+      Duration connectWithin, Listener listener) {
     Call call = new Call(to, method, path, headers, body, listener);
     ArrayDeque<Wire> ready = pool.get(to);
     Wire w = null;
@@ -123,11 +138,22 @@
   /** Sends a request whose response is to come whole within a time; later it counts as broken. */
   public void whole(InetSocketAddress to, String method, String path, Map<String, String> headers, byte[] body,
       Duration connectWithin, Duration within, int longest, Whole.Answered then) {
+    whole(to, method, path, headers, body, connectWithin, within, longest, () -> true, then);
+  }
+
+  /** @param wanted see {@link Listener#wanted} */
+  public void whole(InetSocketAddress to, String method, String path, Map<String, String> headers, byte[] body,
+      Duration connectWithin, Duration within, int longest, BooleanSupplier wanted, Whole.Answered then) {
     Loop.Timer[] limit = new Loop.Timer[1];
     Call call = call(to, method, path, headers, body, connectWithin, new Whole(longest, (status, h, b, failure, why) -> {
       limit[0].cancel();
       then.then(status, h, b, failure, why);
-    }));
+    }) {
+      @Override
+      public boolean wanted() {
+        return wanted.getAsBoolean();
+      }
+    });
     limit[0] = loop.after(within, () -> {
       call.cancel();
       then.then(0, Map.of(), new byte[0], Failure.BROKEN, "no answer within " + within.toMillis() + " ms");
@@ -166,7 +192,7 @@
     private final InetSocketAddress to;
     private final String method;
     private final String path;
-    private final Map<String, String> headers;
+    private final Supplier<Map<String, String>> headers;
     private final byte[] body;
     private final Listener listener;
     private Wire wire;
@@ -177,7 +203,7 @@
     private Duration begun;                                   // when it had its connection
     private boolean over;
 
-    Call(InetSocketAddress to, String method, String path, Map<String, String> headers, byte[] body,
+    Call(InetSocketAddress to, String method, String path, Supplier<Map<String, String>> headers, byte[] body,
         Listener listener) {
       this.to = to;
       this.method = method;
@@ -190,7 +216,7 @@
     private void connect(Duration within) {
       open++;
       limit = loop.after(within, () -> fail(Failure.NO_CONNECTION, "no connection within " + within.toMillis() + " ms"));
-      net.connect(to, () -> List.<Filter>of(new Interim(), Chunks.in(new HttpClientFilter(HEAD)), new Gather()), new Net.Connected() {
+      net.connect(to, () -> List.<Filter>of(new Interim(), Chunks.in(new Responses()), new Gather()), new Net.Connected() {
         @Override
         public void opening(Runnable g) {
           giveUp = g;
@@ -202,6 +228,7 @@
           WIRE.set(c, w);
           loop.execute(() -> {
             opened++;
+            giveUp = null;
             w.counted = true;
             if (w.gone) {
               w.closed();
@@ -230,8 +257,14 @@
         loop.execute(() -> fail(Failure.NO_CONNECTION, "closed before anything was sent"));
         return;
       }
+      if (!listener.wanted()) {
+        w.rest();
+        loop.execute(() -> fail(Failure.NOT_WANTED, "not wanted any longer"));
+        return;
+      }
       wire = w;
       w.call = this;
+      w.asked = true;
       w.written = false;
       w.ahead = true;
       w.answered = false;
@@ -239,7 +272,7 @@
       rested = w.since == null ? null : begun.minus(w.since);
       HttpRequestPacket.Builder b = HttpRequestPacket.builder().method(method).uri(path).protocol("HTTP/1.1")
           .host(to.getHostString() + ":" + to.getPort());
-      new TreeMap<>(headers).forEach(b::header);              // the same order on every run
+      new TreeMap<>(headers.get()).forEach(b::header);              // the same order on every run
       b.contentLength(body.length);
       HttpPacket p = HttpContent.builder(b.build())
           .content(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, body)).last(true).build();
@@ -307,6 +340,7 @@
     final Connection<?> connection;
     HttpResponsePacket response;                              // of the transport's thread
     volatile boolean ahead;                                   // interim answers may come
+    volatile boolean asked;                                   // a response is expected, or the rest of one
     Call call;
     Loop.Timer timer;
     boolean written;                                          // all of the call's request
@@ -432,6 +466,27 @@
     }
   }
 
+  /**
+   * The codec for responses. What comes while nothing is asked ends the connection, be it half a line: it would else be taken for
+   * the beginning of the answer to the next request.
+   */
+  private static final class Responses extends HttpClientFilter {
+    Responses() {
+      super(HEAD);
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) throws IOException {
+      Wire w = WIRE.get(ctx.getConnection());
+      if (w != null && w.asked) {
+        return super.handleRead(ctx);
+      }
+      ((Buffer) ctx.getMessage()).tryDispose();
+      ctx.getConnection().terminateSilently();
+      return ctx.getStopAction();
+    }
+  }
+
   /** Hands the parts of responses to the loop. */
   private final class Gather extends BaseFilter {
     @Override
@@ -447,6 +502,7 @@
       boolean last = part.isLast();
       boolean broken = HttpContent.isBroken(part);
       w.response = last ? null : p;
+      w.asked = !last;
       Map<String, String> headers = first ? HttpRequest.headers(p.getHeaders()) : null;
       int status = p.getStatus();
       boolean keep = last && keeps(p);
--- a/src/main/java/gapproxy/platform/PlatformClients.java
+++ b/src/main/java/gapproxy/platform/PlatformClients.java
@@ -54,7 +54,7 @@
 
   @Override
   public boolean drained() {
-    return drained;
+    return drained && server.open() == 0;                      // what was written must come through
   }
 
   /** A request that can't be used. */
@@ -149,9 +149,10 @@
         respond(x, 409, "a req with this id is open");
       } else if (!taker.room() && !taker.stopping()) {
         respond(x, 503, "too many reqs are open");
+      } else if (drained) {
+        respond(x, 503, "this gateway is stopping");          // whatever it began now would be cut
       } else {
-        open.add(r.id());
-        taker.take(new Asked(x, r));
+        take(x, r);
       }
     } else {
       boolean ready = taker.ready() && !taker.stopping();
@@ -159,6 +160,17 @@
     }
   }
 
+  /** The client's time runs from the last byte of its request, which may have waited for those before it on the connection. */
+  private void take(Exchange x, Right r) {
+    Duration left = r.ask().budget().minus(x.waited());
+    if (left.compareTo(Duration.ofMillis(1)) < 0) {
+      respond(x, 503, "its time was over before it could be taken");
+      return;
+    }
+    open.add(r.id());
+    taker.take(new Asked(x, new Right(r.id(), r.ask().within(left))));
+  }
+
   private void respond(Exchange x, int status, String what) {
     x.respond(status, Map.of("content-type", "application/json"),
         status == 200 ? "{}".getBytes(StandardCharsets.UTF_8) : error(status, what));
--- a/src/main/java/gapproxy/platform/PlatformNode.java
+++ b/src/main/java/gapproxy/platform/PlatformNode.java
@@ -20,6 +20,7 @@
 /** One gateway on the platform, with its loop and its transport. */
 public final class PlatformNode {
   private static final Logger LOG = LoggerFactory.getLogger(PlatformNode.class);
+  private static final int PIPELINED = 256;                   // past it reading stops, and a client that leaves is not seen
   private static final int OWN_DESCRIPTORS = 40;              // the program's files and selectors, by count
   private static final Duration FIRST_REQ = Duration.ofMillis(2000); // past it clients may be closed, by the protocol
   private static final Duration STREAM_GAP = Duration.ofMillis(4500); // short of the time that the protocol allows
@@ -48,7 +49,7 @@
     WireSettings w = c.wire();
     int half = Math.max(8, (c.sockets() - OWN_DESCRIPTORS) / 2); // of the descriptors to clients, half to servers
     Duration idle = w.connectionIdle();
-    Caps caps = new Caps(16 << 10, 64, Wire.LONGEST_BODY, 256 << 10, 16, idle, FIRST_REQ, FIRST_REQ, half);
+    Caps caps = new Caps(16 << 10, 64, Wire.LONGEST_BODY, 256 << 10, PIPELINED, idle, FIRST_REQ, FIRST_REQ, half);
     HttpClient http = new HttpClient(loop, net, idle.multipliedBy(4).dividedBy(5), half);
     Members members = new Members();
     // Streams that a kill would cut are ended ahead of it, where clients then ask another gateway for the rest: at the kill
@@ -57,9 +58,10 @@
     Duration stop = w.resumes() && killed.compareTo(AHEAD) > 0 ? killed.minus(AHEAD) : LONGEST_ANSWER;
     Terms terms = new Terms(c.name(), w.settings(), w.groups(), w.zones(), w.kinds(), w.releaseWithin(), LONGEST_ANSWER,
         STREAM_GAP, stop, half * 9 / 10, true);
-    gateway = new Gateway(terms, loop, new PlatformClients(c.listen(), loop, net, caps, w), new PlatformServers(http, w),
+    gateway = new Gateway(terms, loop, new PlatformClients(c.listen(), loop, net, caps, w), new PlatformServers(http, loop, w),
         listener -> {
-          watch = new Watch(c.discovery(), http, loop, w.connectWithin(), members, new ListSource.Listener() {
+          // With a client of its own: what servers keep waiting must not keep the news of drains out.
+          watch = new Watch(c.discovery(), new HttpClient(loop, net, idle), loop, w.connectWithin(), members, new ListSource.Listener() {
             @Override
             public void list(ServerList l) {
               told.countDown();
--- a/src/main/java/gapproxy/platform/PlatformServers.java
+++ b/src/main/java/gapproxy/platform/PlatformServers.java
@@ -8,6 +8,7 @@
 import gapproxy.http.HttpClient;
 import gapproxy.http.HttpRequest;
 import gapproxy.http.Whole;
+import gapproxy.runtime.Loop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -23,10 +24,12 @@
   private static final int LONGEST_WHOLE = 64 << 10;
 
   private final HttpClient http;
+  private final Loop loop;
   private final WireSettings wire;
 
-  PlatformServers(HttpClient http, WireSettings wire) {
+  PlatformServers(HttpClient http, Loop loop, WireSettings wire) {
     this.http = http;
+    this.loop = loop;
     this.wire = wire;
   }
 
@@ -45,6 +48,11 @@
         then.failed(verdict(status, headers));
       }
     }) {
+      @Override
+      public boolean wanted() {
+        return then.wanted();
+      }
+
       @Override
       public void sent() {
         then.sent();
@@ -61,8 +69,9 @@
   private HttpClient.Call forward(InetSocketAddress to, String id, Client of, Duration within, HttpClient.Listener then) {
     HttpRequest q = ((PlatformClients.Asked) of).request();
     String path = q.query() == null ? q.path() : q.path() + "?" + q.query();
-    return http.call(to, q.method(), path, Map.of("Content-Type", "application/json", Wire.ID, id, Wire.DEADLINE,
-        Long.toString(Math.max(1, within.toMillis()))), q.body(), wire.connectWithin(), then);
+    Duration until = loop.now().plus(within);
+    return http.call(to, q.method(), path, () -> Map.of("Content-Type", "application/json", Wire.ID, id, Wire.DEADLINE,
+        Long.toString(Math.max(1, until.minus(loop.now()).toMillis()))), q.body(), wire.connectWithin(), then);
   }
 
   /** Takes a stream of events apart; after its regular end or its failure nothing more is told. */
@@ -77,6 +86,11 @@
       this.then = then;
     }
 
+    @Override
+    public boolean wanted() {
+      return then.wanted();
+    }
+
     @Override
     public void head(int s, Map<String, String> h) {
       status = s;
@@ -172,9 +186,9 @@
   }
 
   @Override
-  public void hold(InetSocketAddress to, String id, Client of, Duration within, BiConsumer<Boolean, Boolean> then) {
-    http.whole(to, "POST", Wire.HELD + id, Map.of(), NONE, wire.connectWithin(), within, LONGEST_WHOLE,
-        (status, headers, body, failure, why) -> then.accept(failure == null && status == 200,
+  public void hold(InetSocketAddress to, String id, Client of, Duration within, Holding then) {
+    http.whole(to, "POST", Wire.HELD + id, Map.of(), NONE, wire.connectWithin(), within, LONGEST_WHOLE, then::wanted,
+        (status, headers, body, failure, why) -> then.answered(failure == null && status == 200,
             failure == null ? status == 200 || status == 409 || status == 404 : failure != HttpClient.Failure.BROKEN));
   }
 
--- a/src/main/java/gapproxy/standin/PlatformSite.java
+++ b/src/main/java/gapproxy/standin/PlatformSite.java
@@ -48,6 +48,9 @@
     @Override
     public void handle(Exchange x, Object decoded) {
       asked.merge(x.request.method() + " " + x.request.path(), 1, Integer::sum);
+      if (x.request.path().startsWith("/v1/")) {
+        calls.add(x);
+      }
       if (script != null && script.serve(this, x)) {
         return;
       }
@@ -132,6 +135,11 @@
   public boolean indented;
   /** Whether discovery is down: it takes connections and says nothing. */
   public boolean silent;
+  /** Whether discovery's next answers are a head alone. */
+  public boolean headOnly;
+  /** Whether the discovery before stays when another one begins. */
+  public boolean keepsOld;
+  private final List<Exchange> calls = new ArrayList<>();
   private final List<Exchange> watches = new ArrayList<>();
   private HttpServer discovery;
   private int seq = 1;
@@ -165,11 +173,15 @@
       asked.merge("watch", 1, Integer::sum);
       if (!silent) {
         x.begin(200, JSON);
+        if (headOnly) {
+          x.write("\n");
+          return;
+        }
         say(x, hosts(models));
         watches.add(x);
       }
     });
-    if (before != null) {
+    if (before != null && !keepsOld) {
       before.kill();
     }
   }
@@ -185,6 +197,29 @@
     watches.forEach(x -> say(x, "{\"seq\":" + seq + ",\"whole\":false,\"hosts\":[" + host(m) + "]}"));
   }
 
+  /** Writes something into each open watch, as it stands. */
+  public void writeRaw(String text) {
+    watches.forEach(x -> x.write(text));
+  }
+
+  /** Discovery starts anew: it counts its versions from a lower one. */
+  public void countAnew(int from) {
+    seq = from;
+  }
+
+  /** Tells of servers' state in the oldest open watch alone; discovery itself knows nothing of it. */
+  public void tellOld(List<Model> of, String health) {
+    Exchange old = watches.get(0);
+    of.forEach(m -> say(old, "{\"seq\":" + (seq + 1) + ",\"whole\":false,\"hosts\":[" + host(m).replace("\"up\"", "\"" + health + "\"")
+        + "]}"));
+  }
+
+  /** Calls for reads and answers that are open now. */
+  public int openCalls() {
+    calls.removeIf(x -> !x.open());
+    return calls.size();
+  }
+
   /** The watches that are open stay open and bring nothing more. */
   public void forgetWatches() {
     watches.clear();
@@ -209,7 +244,13 @@
     return """
         {"name":"n0","listen":"%s","discovery":"127.0.0.1:%d","seed":"2a","limits":{"cores":1.0,"memory_mb":192,"sockets":512},
          "known":%s,
-         "settings":{"balancers":1,"tickUs":4000,"locality":0,"localities":["here"],"kinds":["reading","writing"],
+         "settings":%s}
+        """.formatted(listen, discovery().getPort(), hosts(models), SETTINGS);
+  }
+
+  /** The settings of a gateway of this site. */
+  public static final String SETTINGS = """
+         {"balancers":1,"tickUs":4000,"locality":0,"localities":["here"],"kinds":["reading","writing"],
           "classes":[{"name":"talk","repeat":"read_like","sloUs":1500000,"giveUpUs":7500000,"worth":1.0,"stream":true}],
           "projects":[{"name":"town","quotaRps":1000.0}],"overShareWorth":0.2,"registryMode":"pushed",
           "familyInfo":{"ahead":true,"localRead":true,"releaseWithinUs":1000000,"roleByKind":["read","write"],
@@ -218,9 +259,8 @@
           "guarantees":{"drainGraceUs":2000000,"startCapacity":0.25,"warmUpUs":10000000,"tipMultiple":4.0,"fallUs":2000000},
           "policyLimits":{"connIdleUs":15000000,"connectTimeoutUs":250000,"maxAttempts":4,"mayCancel":true,
            "mayDuplicate":true,"mayProbe":true,"retryAfter":false},
-          "stats":{"source":"pull","columns":["outstanding","backlog","x0","x1"]}}}
-        """.formatted(listen, discovery().getPort(), hosts(models));
-  }
+          "stats":{"source":"pull","columns":["outstanding","backlog","x0","x1"]}}
+        """;
 
   /** Closes all of it. */
   public void close() {
--- a/src/test/java/gapproxy/gateway/HeldTest.java
+++ b/src/test/java/gapproxy/gateway/HeldTest.java
@@ -57,7 +57,7 @@
     }
 
     @Override
-    public void hold(InetSocketAddress to, String id, Client of, Duration within, BiConsumer<Boolean, Boolean> then) {
+    public void hold(InetSocketAddress to, String id, Client of, Duration within, Holding then) {
       throw new UnsupportedOperationException();
     }
 
--- a/src/test/java/gapproxy/http/SeamTest.java
+++ b/src/test/java/gapproxy/http/SeamTest.java
@@ -3,17 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gapproxy.runtime.Loop;
+import gapproxy.runtime.HandLoop;
 import gapproxy.runtime.Net;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -35,58 +33,6 @@
 
 /** The same server classes as in the daemon, on a connection in memory and a clock turned by hand. */
 class SeamTest {
-  private static final class HandLoop implements Loop {
-    private record Due(Duration at, long n, Runnable work) {}
-
-    private final ArrayDeque<Runnable> inbox = new ArrayDeque<>();
-    private final PriorityQueue<Due> timers = new PriorityQueue<>((a, b) ->
-        a.at.equals(b.at) ? Long.compare(a.n, b.n) : a.at.compareTo(b.at));
-    private Duration now = Duration.ZERO;
-    private long n;
-
-    @Override
-    public Duration now() {
-      return now;
-    }
-
-    @Override
-    public Instant wall() {
-      return Instant.EPOCH.plus(now);
-    }
-
-    @Override
-    public void execute(Runnable work) {
-      inbox.add(work);
-    }
-
-    @Override
-    public Timer after(Duration span, Runnable work) {
-      Due d = new Due(now.plus(span), n++, work);
-      timers.add(d);
-      return () -> timers.remove(d);
-    }
-
-    @Override
-    public void whenIdle(Runnable work) {}
-
-    void turn(Duration to) {
-      run();
-      while (!timers.isEmpty() && timers.peek().at.compareTo(to) <= 0) {
-        Due d = timers.poll();
-        now = d.at;
-        d.work.run();
-        run();
-      }
-      now = to;
-    }
-
-    private void run() {
-      while (!inbox.isEmpty()) {
-        inbox.poll().run();
-      }
-    }
-  }
-
   private static final class MemoryNet implements Net {
     final TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance().build();
     final StringBuilder written = new StringBuilder();
--- a/src/test/java/gapproxy/platform/PlatformTest.java
+++ b/src/test/java/gapproxy/platform/PlatformTest.java
@@ -307,6 +307,139 @@
     assertTrue(drainIsTaken(1500));
   }
 
+  @Test
+  void aHeadWithoutAListIsAskedForAnew() throws Exception {
+    assertTrue(holds(() -> site.asked.getOrDefault("watch", 0) == 1));
+    loop.call(() -> {
+      site.headOnly = true;
+      site.forgetWatches();
+    });
+    assertTrue(holds(() -> site.asked.get("watch") >= 2), "silence was seen");
+    loop.call(() -> site.headOnly = false);
+    assertTrue(drainIsTaken(2900), "a head alone is no list");
+  }
+
+  @Test
+  void anObjectThatCantBeReadIsFollowedByTheWholeListAtOnce() throws Exception {
+    assertTrue(holds(() -> site.asked.getOrDefault("watch", 0) == 1));
+    loop.call(() -> site.writeRaw("{\"seq\":nonsense}\n\n{\"seq\":99,\"whole\":false,\"hosts\":[]}\n"));
+    assertTrue(holds(() -> site.asked.get("watch") == 2));
+    assertTrue(drainIsTaken(1000));
+  }
+
+  @Test
+  void changesOfALowerVersionAreNotTakenForNews() throws Exception {
+    assertTrue(holds(() -> site.asked.getOrDefault("watch", 0) == 1));
+    loop.call(() -> {
+      site.writeRaw("{\"seq\":50,\"whole\":false,\"hosts\":[]}\n");
+      site.countAnew(3);
+      site.writeRaw("{\"seq\":3,\"whole\":false,\"hosts\":[]}\n");
+    });
+    assertTrue(holds(() -> site.asked.get("watch") == 2), "the whole list is asked for");
+    assertTrue(drainIsTaken(1000));
+  }
+
+  @Test
+  void whatTheOldDiscoverySaysAfterAMoveIsNotTaken() throws Exception {
+    assertTrue(holds(() -> site.asked.getOrDefault("watch", 0) == 1));
+    loop.call(() -> {
+      site.keepsOld = true;
+      try {
+        site.discover();
+      } catch (IOException e) {
+        throw new java.io.UncheckedIOException(e);
+      }
+    });
+    node.reload(config());
+    assertTrue(holds(() -> site.asked.get("watch") == 2));
+    loop.call(() -> site.tellOld(site.models, "draining"));
+    assertEquals(200, status(ask(req("o1"))));
+  }
+
+  @Test
+  void serversThatKeepAllConnectionsDoNotKeepTheNewsOut() throws Exception {
+    node.close();
+    node = PlatformNode.start(new String(config(), StandardCharsets.UTF_8).replace("\"sockets\":512", "\"sockets\":56")
+        .getBytes(StandardCharsets.UTF_8));
+    loop.call(() -> site.script = (m, x) -> x.request.path().startsWith("/v1/")); // never answered
+    assertTrue(holds(() -> site.asked.getOrDefault("watch", 0) >= 2));
+    List<Socket> all = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      Socket s = connect();
+      s.getOutputStream().write(req("k" + i).getBytes(StandardCharsets.UTF_8));
+      all.add(s);
+    }
+    assertTrue(holds(() -> site.asked.getOrDefault("POST /v1/chat/completions", 0) >= 6));
+    loop.call(site::forgetWatches);
+    assertTrue(drainIsTaken(4500));
+    for (Socket s : all) {
+      s.close();
+    }
+  }
+
+  @Test
+  void aClientThatLeavesManyCommandsIsSeenToGo() throws Exception {
+    loop.call(() -> site.script = (m, x) -> x.request.path().startsWith("/v1/")); // never answered
+    try (Socket s = connect()) {
+      StringBuilder many = new StringBuilder();
+      for (int i = 0; i < 40; i++) {
+        many.append(req("n" + i));
+      }
+      s.getOutputStream().write(many.toString().getBytes(StandardCharsets.UTF_8));
+      assertTrue(holds(() -> site.asked.getOrDefault("POST /v1/chat/completions", 0) >= 1));
+    }
+    assertTrue(holds(() -> site.openCalls() == 0), "what was sent on for it is ended");
+    assertEquals(1, site.asked.get("POST /v1/chat/completions"), "nothing more is sent on");
+  }
+
+  @Test
+  void whatComesAfterTheTimeOfNewConnectionsIsRejectedAndNotSentOn() throws Exception {
+    CountDownLatch out = new CountDownLatch(1);
+    loop.call(() -> site.script = (m, x) -> {
+      out.countDown();
+      return x.request.path().startsWith("/v1/");             // never answered, so the gateway goes on stopping
+    });
+    try (Socket running = connect(); Socket half = connect()) {
+      running.getOutputStream().write(req("q1").getBytes(StandardCharsets.UTF_8));
+      assertTrue(out.await(5, TimeUnit.SECONDS));
+      String second = req("q2");
+      half.getOutputStream().write(second.substring(0, 60).getBytes(StandardCharsets.UTF_8));
+      node.stop(() -> { });
+      new CountDownLatch(1).await(700, TimeUnit.MILLISECONDS);
+      int sent = site.asked.get("POST /v1/chat/completions");
+      half.getOutputStream().write(second.substring(60).getBytes(StandardCharsets.UTF_8));
+      assertEquals(503, status(answer(half)));
+      assertEquals(sent, site.asked.get("POST /v1/chat/completions"));
+    }
+  }
+
+  @Test
+  void aStopWaitsForAClientThatReadsSlowly() throws Exception {
+    String much = PlatformSite.event(0).replace("w0", "z".repeat(60_000));
+    loop.call(() -> site.script = (m, x) -> {
+      if (m.reader || !x.request.path().startsWith("/v1/")) {
+        return false;
+      }
+      x.begin(200, Map.of("content-type", "text/event-stream"));
+      for (int i = 0; i < 100; i++) {
+        x.write(much);
+      }
+      x.write(PlatformSite.LAST);
+      x.end();
+      return true;
+    });
+    try (Socket s = connect()) {
+      s.getOutputStream().write(req("s1").getBytes(StandardCharsets.UTF_8));
+      assertTrue(holds(() -> site.openCalls() == 0 && site.asked.getOrDefault("POST /v1/chat/completions", 0) == 2));
+      CountDownLatch stopped = new CountDownLatch(1);
+      node.stop(stopped::countDown);
+      new CountDownLatch(1).await(800, TimeUnit.MILLISECONDS);
+      String a = new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+      assertTrue(a.contains("data: [DONE]") && a.endsWith("0\r\n\r\n"), "cut after " + a.length());
+      assertTrue(stopped.await(5, TimeUnit.SECONDS));
+    }
+  }
+
   @Test
   void whatDrainedBeforeTheStartIsNotTakenFromTheOldList() throws Exception {
     byte[] old = config();
