--- a/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
+++ b/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
@@ -311,7 +311,7 @@
     ask();
     assertEquals(List.of(), servers.holds, "not before the read is out");
     drainWriter();
-    turn(Duration.ofSeconds(2));
+    turn(Duration.ofMillis(500));
     servers.reads.get(0).sent();
     turn(TURN);
     assertEquals(List.of(), servers.holds, "a place was asked for at a draining server");
--- a/src/test/java/gapproxy/platform/PlatformTest.java
+++ b/src/test/java/gapproxy/platform/PlatformTest.java
@@ -388,7 +388,9 @@
       s.getOutputStream().write(many.toString().getBytes(StandardCharsets.UTF_8));
       assertTrue(holds(() -> site.asked.getOrDefault("POST /v1/chat/completions", 0) >= 1));
     }
+    long left = System.nanoTime();
     assertTrue(holds(() -> site.openCalls() == 0), "what was sent on for it is ended");
+    assertTrue(System.nanoTime() - left < 1_500_000_000L, "not only when its time was over");
     assertEquals(1, site.asked.get("POST /v1/chat/completions"), "nothing more is sent on");
   }
 
