--- /dev/null
+++ b/src/test/java/gapproxy/RulesAtTheLimitTest.java
@@ -0,0 +1,116 @@
+package gapproxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gapproxy.World.Fwd;
+import gapproxy.World.Job;
+import gapproxy.api.Event;
+import gapproxy.api.Event.Outcome;
+import gapproxy.api.Settings;
+import gapproxy.api.Settings.Role;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What the rules allow up to a moment or a number, one tick before it and one after. */
+class RulesAtTheLimitTest {
+  private static final Duration BUDGET = World.ms(6000);
+
+  /** Attempts of a keyed request whose first one failed after a time. */
+  private static int attempts(long windowMs, long failedAfterMs) {
+    Settings s = World.settings(List.of(new Settings.EndpointGroup(Settings.Repeat.KEYED, Settings.Scope.ALL, World.ms(windowMs), 1,
+        World.ms(1500), World.ms(40))), List.of(new Settings.ServerKind(Role.READ, 200_000), new Settings.ServerKind(Role.WRITE, 120_000)),
+        true, false, false, Settings.Source.NONE, true, true, 0);
+    World w = new World(s, 1);
+    w.start(2, 4);
+    Job j = w.accept(0, 1, 0, 100, 0, BUDGET);
+    w.now = w.now.plus(World.ms(failedAfterMs));
+    w.end(j.forwards.get(0), Outcome.ERROR, 0);
+    return j.forwards.size();
+  }
+
+  @Test
+  void theWindowForRepeats() {
+    assertEquals(2, attempts(2000, 1996), "one tick before its end");
+    assertEquals(1, attempts(2000, 2000), "at its end");
+    assertEquals(1, attempts(2000, 2004), "one tick after it");
+    assertEquals(1, attempts(0, 0), "no window");
+    assertEquals(1, attempts(4, 4), "a window of one tick");
+  }
+
+  /** What a cold reader is sent by all gateways together, in any time in which it would fall: never more than it bears. */
+  @ParameterizedTest
+  @ValueSource(ints = {20, 50, 100})
+  void aColdServerOverAllGateways(int gateways) {
+    for (int seed = 1; seed <= 3; seed++) {
+      assertTrue(worst(gateways, seed) <= 1, gateways + " gateways, seed " + seed);
+    }
+  }
+
+  /** The largest number sent to the cold server within the tip span, as a part of N + 2 x root of N + 2. */
+  private static double worst(int gateways, int seed) {
+    double each = 5;                                          // reqs a second of one reader
+    Settings set = World.grown(World.plain(), gateways, Settings.Source.NONE);
+    SplittableRandom chance = new SplittableRandom(seed);
+    List<World> all = new ArrayList<>();
+    for (int g = 0; g < gateways; g++) {
+      World w = new World(set, seed * 1000L + g);
+      w.start(1, 12);
+      all.add(w);
+    }
+    long cold = all.get(0).list.values().stream().filter(l -> set.kinds().get(l.kind()).role() == Role.READ).findFirst()
+        .orElseThrow().server();
+    Deque<Long> sent = new ArrayDeque<>();
+    List<Job> open = new ArrayList<>();
+    List<World> of = new ArrayList<>();
+    double worst = 0;
+    for (long ms = 0; ms < 18_000; ms += 33) {
+      Duration now = World.ms(ms);
+      if (ms >= 5000 && ms < 5033) {
+        for (World w : all) {
+          w.now = now;
+          w.tell(w.line(cold, w.list.get(cold).kind(), w.list.get(cold).cell(), Event.State.READY, now));
+        }
+      }
+      World w = all.get(chance.nextInt(gateways));
+      w.now = now;
+      Job j = w.accept(0, ms, 0, 4000, 0, BUDGET);
+      open.add(j);
+      of.add(w);
+      while (open.size() > 6) {                               // each is done when six more have come
+        finish(of.remove(0), open.remove(0), now);
+      }
+      if (ms >= 5033 && j.forwards.stream().anyMatch(f -> f.server == cold)) {
+        sent.add(ms);
+      }
+      while (!sent.isEmpty() && sent.peek() < ms - set.cold().tipSpan().toMillis()) {
+        sent.poll();
+      }
+      double grown = Math.max(0, Math.min(1, (ms - 5000.0) / set.cold().warmWithin().toMillis()));
+      double n = set.cold().tipMultiple() * (set.cold().leastCapacity() + (1 - set.cold().leastCapacity()) * grown) * each
+          * set.cold().tipSpan().toMillis() / 1000;
+      worst = Math.max(worst, sent.size() / (n + 2 * Math.sqrt(n) + 2));
+    }
+    return worst;
+  }
+
+  private static void finish(World w, Job j, Duration now) {
+    w.now = now;
+    for (int i = 0; i < j.forwards.size(); i++) {
+      Fwd f = j.forwards.get(i);
+      if (f.how == null && w.set.kinds().get(f.line.kind()).role() == Role.READ) {
+        w.end(f, Outcome.READ, 0);
+      } else if (f.how == null) {
+        w.begin(f);
+        w.end(f, Outcome.DONE, 0);
+      }
+    }
+  }
+}
