Crossings made strict: room under a table that is full, an answer larger than buffers

Cause: with the mends taken out one by one, four tests of ServerCrossingsTest still passed: the reading thread stood at the gate before the others were accepted, the answer fitted the system's buffers, a reset after the end went unread. Change: the order is forced on the loop first; 64 MB; a second write after the end.

--- a/src/test/java/gapproxy/http/ServerCrossingsTest.java
+++ b/src/test/java/gapproxy/http/ServerCrossingsTest.java
@@ -260,26 +260,36 @@
 
   @Test
   void roomMadeXRequestReadButNotWithTheLoopIsAnswered() throws Exception {
-    closeTheGate();
     Socket first = connect();
-    send(first, get("/first"));
-    await(decoding);
-    for (int i = 0; i < CAP; i++) {
-      connect();                                              // in the system's queue until the gate opens
+    for (int i = 1; i < CAP; i++) {
+      connect();
     }
-    CountDownLatch g = gate;
-    gate = null;
+    assertTrue(holds(() -> server.open() == CAP));
+    CountDownLatch here = new CountDownLatch(1);
+    CountDownLatch go = new CountDownLatch(1);
     loop.execute(() -> {
-      g.countDown();                                          // all is accepted and read while the loop stands here
-      try {
-        new CountDownLatch(1).await(200, TimeUnit.MILLISECONDS);
-      } catch (InterruptedException e) {
-        throw new IllegalStateException(e);
-      }
+      here.countDown();
+      await(go);
     });
+    await(here);
+    connect();                                                // one too many, of which the loop hears later
+    assertTrue(waitFor(() -> open.get() == CAP + 1));
+    closeTheGate();
+    send(first, get("/first"));
+    await(decoding);
+    go.countDown();                                           // room is made while the oldest one's request is being read
+    loop.call(() -> { });
+    openTheGate();
     assertTrue(until(first, "answer to /first").contains("200"));
   }
 
+  private static boolean waitFor(BooleanSupplier what) throws InterruptedException {
+    for (int i = 0; i < 500 && !what.getAsBoolean(); i++) {
+      new CountDownLatch(1).await(10, TimeUnit.MILLISECONDS);
+    }
+    return what.getAsBoolean();
+  }
+
   @Test
   void drainXRequestHalfReadIsAnswered() throws Exception {
     Socket s = connect();
@@ -304,9 +314,7 @@
     await(here);
     Socket s = connect();
     send(s, get("/late"));
-    for (int i = 0; i < 500 && open.get() == 0; i++) {
-      new CountDownLatch(1).await(10, TimeUnit.MILLISECONDS);
-    }
+    assertTrue(waitFor(() -> open.get() == 1));
     go.countDown();
     assertTrue(rest(s).endsWith("answer to /late"));
   }
@@ -319,6 +327,8 @@
     loop.call(server::drain);
     assertEquals(-1, s.getInputStream().read(), "its end comes without a reset");
     send(s, get("/second"));
+    new CountDownLatch(1).await(100, TimeUnit.MILLISECONDS);
+    send(s, get("/third"));                                   // fails on a connection that was reset
     s.close();
     assertTrue(holds(() -> server.open() == 0), "it is closed in bounded time");
     assertEquals(List.of("/first"), handled);
@@ -349,7 +359,7 @@
     Socket s = connect();
     send(s, get("/long"));
     assertTrue(holds(() -> exchanges.size() == 1));
-    byte[] much = "y".repeat(8 << 20).getBytes(StandardCharsets.UTF_8);
+    byte[] much = "y".repeat(64 << 20).getBytes(StandardCharsets.UTF_8);
     loop.call(() -> {
       server.drain();
       exchanges.get(0).respond(200, Map.of(), much);          // more than the system takes at once
