A client's own headers are sent on; frees go to other zones in turn

Change: all end-to-end headers of the client go along; frees go to this gateway's own zone, then the others, the state's own last.

--- a/src/main/java/gapproxy/gateway/Fleet.java
+++ b/src/main/java/gapproxy/gateway/Fleet.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -50,10 +51,27 @@
     this.unused = unused;
   }
 
-  /** Other servers than the one at an address, where a req's id says all that a free needs. */
-  List<InetSocketAddress> others(InetSocketAddress than) {
-    return listed.values().stream().filter(e -> e.state() != ServerList.State.GONE).map(ServerList.Entry::address)
-        .filter(a -> !a.equals(than)).toList();
+  /**
+   * Other servers than the one at an address, where a req's id says all that a free needs: by their zones, this gateway's own first
+   * and the one of that address last. A cut takes a zone away at once, all of whose servers were heard a moment ago.
+   */
+  List<List<InetSocketAddress>> others(InetSocketAddress than) {
+    Map<Integer, List<InetSocketAddress>> zones = new TreeMap<>(Comparator.comparingInt(z -> z == terms.settings().zone() ? -1 : z));
+    int last = Integer.MIN_VALUE;
+    for (ServerList.Entry e : listed.values()) {
+      int zone = servers.get(e.id()).zone();
+      if (e.address().equals(than)) {
+        last = zone;
+      } else {
+        zones.computeIfAbsent(zone, z -> new ArrayList<>()).add(e.address());
+      }
+    }
+    List<InetSocketAddress> ofItsZone = last == terms.settings().zone() ? null : zones.remove(last);
+    List<List<InetSocketAddress>> order = new ArrayList<>(zones.values());
+    if (ofItsZone != null) {
+      order.add(ofItsZone);
+    }
+    return order;
   }
 
   /** Whether a server takes new work still, and is the one that it was. */
--- a/src/main/java/gapproxy/gateway/Held.java
+++ b/src/main/java/gapproxy/gateway/Held.java
@@ -17,13 +17,13 @@
   private static final Logger LOG = LoggerFactory.getLogger(Held.class);
   private static final int TRIES = 4, LATER = 75;
   private final Servers servers;
-  private final Function<InetSocketAddress, List<InetSocketAddress>> others;
+  private final Function<InetSocketAddress, List<List<InetSocketAddress>>> others;
   private final Loop loop;
   private final Duration within, each;
   private int freeing;
 
-  /** @param others servers that would free as well what is known by its req alone */
-  Held(Servers servers, Loop loop, Duration within, Function<InetSocketAddress, List<InetSocketAddress>> others) {
+  /** @param others servers that would free as well what is known by its req alone, by what a cut would take away together */
+  Held(Servers servers, Loop loop, Duration within, Function<InetSocketAddress, List<List<InetSocketAddress>>> others) {
     this.servers = servers;
     this.others = others;
     this.loop = loop;
@@ -49,7 +49,8 @@
   /**
    * One state or place that is to be freed. The first calls overlap and each may take the whole release time: an engine that is slow to
    * open connections would else see only calls given up too early. Later ones follow one another until the engine hears again.
-   * Of other servers those are asked first that were heard lately: a cut takes many away at once, and the state's own is one of them.
+   * Of other servers those are asked first that were heard lately, of each zone in turn: a cut takes many away at once, and the
+   * state's own is one of them.
    */
   private final class Freeing {
     private final InetSocketAddress at;
@@ -81,8 +82,7 @@
         return;
       }
       Duration begun = loop.now();
-      List<InetSocketAddress> more = anywhere && calls % 2 == 0 ? servers.likeliestFirst(others.apply(at)) : List.of();
-      InetSocketAddress to = more.isEmpty() ? at : more.get((calls / 2 - 1) % more.size());
+      InetSocketAddress to = next(early);
       servers.free(to, id, early ? within : each.multipliedBy(2), (well, any) -> {
         if (over) {
           return;
@@ -100,6 +100,17 @@
         loop.after(each, this::next);
       }
     }
+
+    /** First the state's own server, then others, a group of them at a time; later its own one every other time. */
+    private InetSocketAddress next(boolean early) {
+      int nth = early ? calls - 2 : calls / 2 - 2 + TRIES / 2;
+      List<List<InetSocketAddress>> groups = anywhere && (early ? calls > 1 : calls % 2 == 0) ? others.apply(at) : List.of();
+      if (groups.isEmpty()) {
+        return at;
+      }
+      List<InetSocketAddress> of = servers.likeliestFirst(groups.get(nth % groups.size()));
+      return of.get(nth / groups.size() % of.size());
+    }
   }
 
   /** Calls that are on their way. */
--- a/src/main/java/gapproxy/platform/PlatformServers.java
+++ b/src/main/java/gapproxy/platform/PlatformServers.java
@@ -13,14 +13,19 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 
 /** Model servers that speak the platform's protocol, for {@link PlatformClients}. */
 final class PlatformServers implements Servers {
   private static final byte[] NONE = new byte[0];
   private static final double[] NOTHING = new double[0];
+  private static final Set<String> OF_CONNECTION = Set.of("connection", "content-length", "expect", "host", "keep-alive",
+      "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade");
   private static final int LONGEST_WHOLE = 64 << 10;
 
   private final HttpClient http;
@@ -70,8 +75,20 @@
     HttpRequest q = ((PlatformClients.Asked) of).request();
     String path = q.query() == null ? q.path() : q.path() + "?" + q.query();
     Duration until = loop.now().plus(within);
-    return http.call(to, q.method(), path, () -> Map.of("Content-Type", "application/json", Wire.ID, id, Wire.DEADLINE,
-        Long.toString(Math.max(1, until.minus(loop.now()).toMillis()))), q.body(), wire.connectWithin(), then);
+    return http.call(to, q.method(), path, () -> headers(q, id, until), q.body(), wire.connectWithin(), then);
+  }
+
+  /**
+   * A request's own headers, but for those that are of its connection (RFC 9110, section 7.6.1) or say its body's length: a server
+   * knows a repeat by a key that its client has sent.
+   */
+  private Map<String, String> headers(HttpRequest q, String id, Duration until) {
+    Map<String, String> headers = new HashMap<>(q.headers());
+    String ofConnection = headers.getOrDefault("connection", "").toLowerCase(Locale.ROOT);
+    headers.keySet().removeIf(name -> OF_CONNECTION.contains(name) || List.of(ofConnection.split("[ ,]+")).contains(name));
+    headers.put(Wire.ID.toLowerCase(Locale.ROOT), id);
+    headers.put(Wire.DEADLINE.toLowerCase(Locale.ROOT), Long.toString(Math.max(1, until.minus(loop.now()).toMillis())));
+    return headers;
   }
 
   /** Takes a stream of events apart; after its regular end or its failure nothing more is told. */
--- a/src/test/java/gapproxy/gateway/HeldTest.java
+++ b/src/test/java/gapproxy/gateway/HeldTest.java
@@ -70,12 +70,27 @@
     }
   }
 
+  /** The server that was heard last is cut off with the state's own; one of another zone is reached. */
+  @Test
+  void aCutThatTakesTheOnesHeardLastDoesNotKeepItHeld() throws Exception {
+    LiveLoop loop = new LiveLoop("held");
+    Cut cut = new Cut();
+    Held held = new Held(cut, loop, WITHIN, than -> List.of(List.of(at(9), at(8), at(7)), List.of(at(6), at(2))));
+    loop.execute(() -> held.freeLater(at(1), "x", true));
+    boolean inTime = cut.reached.await(WITHIN.toMillis(), TimeUnit.MILLISECONDS);
+    List<Integer> asked = new ArrayList<>();
+    loop.call(() -> asked.addAll(cut.asked));
+    loop.close();
+    assertEquals(List.of(1, 9, 6), asked);
+    assertEquals(true, inTime);
+  }
+
   @Test
   void whatACutServerHoldsIsFreedByTheOneHeardLastAndInTime() throws Exception {
     LiveLoop loop = new LiveLoop("held");
     Cut cut = new Cut();
     List<InetSocketAddress> others = List.of(at(2), at(3), at(4), at(5), at(6));
-    Held held = new Held(cut, loop, WITHIN, than -> others);
+    Held held = new Held(cut, loop, WITHIN, than -> List.of(others));
     loop.execute(() -> held.freeLater(at(1), "x", true));
     boolean inTime = cut.reached.await(WITHIN.toMillis(), TimeUnit.MILLISECONDS);
     List<Integer> asked = new ArrayList<>();
--- a/src/test/java/gapproxy/platform/PlatformTest.java
+++ b/src/test/java/gapproxy/platform/PlatformTest.java
@@ -152,6 +152,22 @@
     assertEquals(200, status(ask(req("b9"))), "the next one is served");
   }
 
+  @Test
+  void aClientsOwnHeadersAreSentOn() throws Exception {
+    Map<String, String> seen = new java.util.concurrent.ConcurrentHashMap<>();
+    loop.call(() -> site.script = (m, x) -> {
+      if (x.request.path().startsWith("/v1/")) {
+        seen.putAll(x.request.headers());
+      }
+      return false;
+    });
+    assertEquals(200, status(ask(req("h9").replace("Req-Key", "Idempotency-Key: k-1\r\nX-Odd: a\r\nConnection: x-odd\r\nReq-Key"))));
+    assertEquals("k-1", seen.get("idempotency-key"));
+    assertEquals("h9", seen.get("req-id"));
+    assertTrue(Integer.parseInt(seen.get("req-deadline-ms")) <= 3000, seen.toString());
+    assertFalse(seen.containsKey("x-odd"), "it is of the connection");
+  }
+
   @Test
   void aLengthTogetherWithChunksHidesNoSecondReq() throws Exception {
     String a = ask(head("c1", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + req("c2")));
