A read that was not answered may have run; frees go to another role first

Frees: split+term silences four in five servers of one role at once; the calls inside the release time went to servers of the same role (pinned 7 times there).

Change: Try.mayHaveRun no longer leaves reads out; the order of servers for a free: another role first, then the gateway's own zone, the state's last.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -665,7 +665,7 @@
     t.toRead = read || t.local ? r.in.prompt() - t.believed : 0;
     r.tries.add(t);
     r.running++;
-    Action.Path how = t.harmless ? Action.Path.READ : t.local || read ? Action.Path.LOCAL : Action.Path.WRITE;
+    Action.Path how = read && s.role() == Role.READ ? Action.Path.READ : t.local || read ? Action.Path.LOCAL : Action.Path.WRITE;
     Duration latest = r.group.repeat() != Repeat.KEYED ? null : r.tries.stream().filter(Try::mayHaveRun)
         .filter(before -> before != t).map(before -> before.sentAt.plus(r.group.window())).min(Duration::compareTo).orElse(null);
     out.add(new Action.Forward(r.in.req(), s.id, how, least(timeOut, r.left().minus(set.tick())), latest));
--- a/src/main/java/gapproxy/Try.java
+++ b/src/main/java/gapproxy/Try.java
@@ -2,7 +2,6 @@
 
 import gapproxy.api.Event;
 import gapproxy.api.Event.Outcome;
-import gapproxy.api.Settings.Role;
 import java.time.Duration;
 
 /** One forward of a req. */
@@ -12,7 +11,6 @@
   final Event.Line line;                                      // of that server, as it was at the send
   final int number;
   final boolean read;
-  final boolean harmless;                                     // at what was a reader then
   final double weight;                                        // tokens that it holds at a writer
   final Duration sentAt;
   double believed, toRead, unread;
@@ -25,13 +23,12 @@
     this.line = at.line;
     this.number = number;
     this.read = read;
-    this.harmless = read && at.role() == Role.READ;
     this.weight = weight;
     this.sentAt = sentAt;
   }
 
-  /** By what the server was at the send: another engine, elsewhere or of another kind, may bear its name by now. */
+  /** Reads as well: a server that was asked for one and never answered is not known to have done nothing. */
   boolean mayHaveRun() {
-    return !harmless && (how == null || !how.neverRan());
+    return how == null || !how.neverRan();
   }
 }
--- a/src/main/java/gapproxy/gateway/Fleet.java
+++ b/src/main/java/gapproxy/gateway/Fleet.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -51,27 +52,31 @@
     this.unused = unused;
   }
 
+  /** What a cut, or a fault of one kind of servers, takes away together. */
+  private record Together(Role role, int zone) {}
+
   /**
-   * Other servers than the one at an address, where a req's id says all that a free needs: by their zones, this gateway's own first
-   * and the one of that address last. A cut takes a zone away at once, all of whose servers were heard a moment ago.
+   * Other servers than the one at an address, where a req's id says all that a free needs: by what may be cut off together, those
+   * of another role first, then this gateway's own zone, and the zone of that address last. All were heard a moment before a cut.
    */
   List<List<InetSocketAddress>> others(InetSocketAddress than) {
-    Map<Integer, List<InetSocketAddress>> zones = new TreeMap<>(Comparator.comparingInt(z -> z == terms.settings().zone() ? -1 : z));
-    int last = Integer.MIN_VALUE;
+    Map<Together, List<InetSocketAddress>> groups = new LinkedHashMap<>();
+    Together its = null;
     for (ServerList.Entry e : listed.values()) {
-      int zone = servers.get(e.id()).zone();
+      Server s = servers.get(e.id());
+      Together group = new Together(s.role(), s.zone());
       if (e.address().equals(than)) {
-        last = zone;
+        its = group;
       } else {
-        zones.computeIfAbsent(zone, z -> new ArrayList<>()).add(e.address());
+        groups.computeIfAbsent(group, g -> new ArrayList<>()).add(e.address());
       }
     }
-    List<InetSocketAddress> ofItsZone = last == terms.settings().zone() ? null : zones.remove(last);
-    List<List<InetSocketAddress>> order = new ArrayList<>(zones.values());
-    if (ofItsZone != null) {
-      order.add(ofItsZone);
-    }
-    return order;
+    Together held = its;
+    int own = terms.settings().zone();
+    return groups.entrySet().stream().sorted(Comparator.comparingInt(e -> held == null ? 0
+        : (e.getKey().role() == held.role() ? 4 : 0)
+            + (e.getKey().zone() == own ? 0 : e.getKey().zone() == held.zone() ? 2 : 1)))
+        .map(Map.Entry::getValue).toList();
   }
 
   /** Whether a server takes new work still, and is the one that it was. */
--- a/src/test/java/gapproxy/RulesAtTheLimitTest.java
+++ b/src/test/java/gapproxy/RulesAtTheLimitTest.java
@@ -5,6 +5,7 @@
 
 import gapproxy.World.Fwd;
 import gapproxy.World.Job;
+import gapproxy.api.Action;
 import gapproxy.api.Event;
 import gapproxy.api.Event.Outcome;
 import gapproxy.api.Settings;
@@ -51,6 +52,24 @@
     assertEquals(1, attempts(4, 4), "a window of one tick");
   }
 
+  /** On sockets the bench counted a read that was never answered as one that may have run, whatever reads do. */
+  @Test
+  void aReadThatWasNotAnsweredMayHaveRun() {
+    for (Settings.Repeat repeat : Settings.Repeat.values()) {
+      Settings s = World.settings(List.of(new Settings.EndpointGroup(repeat, Settings.Scope.ZONE, World.ms(1000), 1,
+          World.ms(1500), World.ms(40))), List.of(new Settings.ServerKind(Role.READ, 200_000), new Settings.ServerKind(Role.WRITE, 120_000)),
+          false, false, false, Settings.Source.NONE, true, true, 0);
+      World w = new World(s, 1);
+      w.start(2, 4);
+      Job j = w.accept(0, 1, 0, 4000, 0, BUDGET);
+      w.now = w.now.plus(World.ms(1500));
+      w.end(j.forwards.get(0), Outcome.TIMED_OUT, 0);
+      boolean replayable = repeat == Settings.Repeat.REPLAYABLE;
+      assertEquals(replayable ? 2 : 1, j.forwards.size(), repeat + ": its window is over");
+      assertEquals(!replayable, w.last.stream().anyMatch(a -> a instanceof Action.Abort), repeat + ": not rejected either");
+    }
+  }
+
   /** What a cold reader is sent by all gateways together, in any time in which it would fall: never more than it bears. */
   @ParameterizedTest
   @ValueSource(ints = {20, 50, 100})
