The planted fault of drains beside the gateway: drains that never come in

Cause: RuleModelTest plants one fault of each rule and has it caught.

Change: the planted fault takes drains out of the list as it comes in, ahead of both looks. As strict: the same rule is to be broken and named by the same model.

--- a/src/test/java/gapproxy/sim/RuleModelTest.java
+++ b/src/test/java/gapproxy/sim/RuleModelTest.java
@@ -31,6 +31,11 @@
     return new Planted(rule, "gapproxy." + drive, new Mutant("rule " + rule + " by " + drive + ": " + by, file, replace, by));
   }
 
+  /** Drains never come in: one guard of the decisions alone no longer breaks the rule, since the gateway looks at the list as well. */
+  private static final String DRAINS_UNHEARD = "    for (ServerList.Entry e : list.servers().stream().map(x -> new ServerList.Entry(x.id(), "
+      + "x.address(), x.zone(), x.cell(), x.kind(), x.state() == ServerList.State.GONE ? x.state() : ServerList.State.READY, x.size(), "
+      + "x.upSince())).toList()) {\n      int kind";
+
   private static final List<Planted> PLANTED = List.of(
       planted(1, "RulesDrive", RULES, "        out.add(new Action.Abort(in.req()));", "        assert true;"),
       planted(2, "RulesDrive", RULES, "r.group.scope().covers(t.line, s.line)", "true"),
@@ -39,7 +44,7 @@
       planted(5, "RulesDrive", RULES, "      if (!tries.isEmpty()) {\n        out.add(new Action.Drop", "      if (begun) {\n        out.add(new Action.Drop"),
       planted(1, "sim.GatewayDrive", GATEWAY, "() -> r.client.pushBack(retryIn, trouble));\n    settle(r);", "() -> { });\n    settle(r);"),
       planted(2, "sim.GatewayDrive", GATEWAY, "      case BROKEN -> Outcome.BROKEN;", "      case BROKEN -> Outcome.NO_CONNECTION;"),
-      planted(3, "sim.GatewayDrive", FLEET, "line(s, Event.State.valueOf(e.state().name()))", "line(s, Event.State.READY)"),
+      planted(3, "sim.GatewayDrive", FLEET, "    for (ServerList.Entry e : list.servers()) {\n      int kind", DRAINS_UNHEARD),
       planted(4, "sim.GatewayDrive", RULES, "      return !cold() || credit >= 1;", "      return true;"),
       planted(5, "sim.GatewayDrive", GATEWAY, "        freeState(r);                                         // a writer", "        r.state = null;                                         // a writer"));
 
