An error on the loop is told, answers what is in hand and ends the process

Cause: LiveLoop.safely caught RuntimeException alone, run had no finally, so ended was never counted down. Ruled out: exceptions (they were logged and the loop went on).

--- a/src/main/java/gapproxy/cli/NodeCommand.java
+++ b/src/main/java/gapproxy/cli/NodeCommand.java
@@ -51,7 +51,7 @@
     PlatformNode[] node = new PlatformNode[1];
     handleSignals(file, started, stopped, node);
     try {
-      node[0] = PlatformNode.start(Files.readAllBytes(file));
+      node[0] = PlatformNode.start(Files.readAllBytes(file), Exit::fatal);
     } catch (PlatformNode.Bad e) {
       throw new Main.Failure(file + ": " + e.getMessage());
     } catch (IOException e) {
--- a/src/main/java/gapproxy/daemon/Node.java
+++ b/src/main/java/gapproxy/daemon/Node.java
@@ -21,9 +21,9 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private volatile InetSocketAddress address;
 
-  private Node(Config config, Long seed) throws IOException {
+  private Node(Config config, Long seed, Runnable onFatal) throws IOException {
     this.config = config;
-    loop = new LiveLoop(config.name());
+    loop = new LiveLoop(config.name(), cause -> abandon(onFatal));
     net = new LiveNet(config.name() + "-net", Math.max(2, Runtime.getRuntime().availableProcessors() / 2));
     gateway = new Gateway(config, loop, net, disk, seed != null ? seed
         : loop.wall().toEpochMilli() * 31 + config.name().hashCode());
@@ -38,10 +38,25 @@
     return start(config, null);
   }
 
+  private void abandon(Runnable onFatal) {
+    try {
+      if (gateway != null) {
+        gateway.abandon();
+      }
+    } finally {
+      onFatal.run();
+    }
+  }
+
   /** @param seed of the decisions' chance, or null for another one at each start */
   public static Node start(Config config, Long seed) throws IOException {
+    return start(config, seed, () -> { });
+  }
+
+  /** @param onFatal run when the loop has ended by an error; it is to end the process */
+  public static Node start(Config config, Long seed, Runnable onFatal) throws IOException {
     warmUp();
-    Node n = new Node(config, seed);
+    Node n = new Node(config, seed, onFatal);
     IOException[] failed = new IOException[1];
     n.loop.call(() -> {
       try {
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -242,6 +242,23 @@
     }
   }
 
+  /**
+   * Gives all that is in hand its failed answer, as far as that can still be done. For a loop that has ended by an error: nothing
+   * else of this gateway may be used afterwards.
+   */
+  public void abandon() {
+    for (Req r : List.copyOf(reqs.values())) {
+      if (!r.answered) {
+        r.answered = true;
+        try {
+          r.client.abort(Client.Why.SERVER_FAILED, "the gateway has failed");
+        } catch (RuntimeException e) {
+          LOG.atError().setCause(e).addKeyValue("request_id", r.name).log("no failed answer could be given");
+        }
+      }
+    }
+  }
+
   /** Dies without a word to anybody, as a killed process would. On the loop. */
   public void kill() {
     source.close();
--- a/src/main/java/gapproxy/platform/PlatformNode.java
+++ b/src/main/java/gapproxy/platform/PlatformNode.java
@@ -43,8 +43,8 @@
     }
   }
 
-  private PlatformNode(PlatformConfig c) throws IOException, InterruptedException {
-    loop = new LiveLoop(c.name());
+  private PlatformNode(PlatformConfig c, Runnable onFatal) throws IOException, InterruptedException {
+    loop = new LiveLoop(c.name(), cause -> abandon(onFatal));
     net = new LiveNet(c.name() + "-net", 1);
     WireSettings w = c.wire();
     int half = Math.max(8, (c.sockets() - OWN_DESCRIPTORS) / 2); // of the descriptors to clients, half to servers
@@ -112,7 +112,30 @@
    * @throws IOException if its port can't be bound
    */
   public static PlatformNode start(byte[] config) throws Bad, IOException, InterruptedException {
-    return new PlatformNode(PlatformConfig.parse(config));
+    return start(config, () -> { });
+  }
+
+  /**
+   * @param onFatal run when the loop has ended by an error and what was in hand has been answered as failed; it is to end the
+   *     process, so that the supervisor starts it anew
+   * @throws IOException if its port can't be bound
+   */
+  public static PlatformNode start(byte[] config, Runnable onFatal) throws Bad, IOException, InterruptedException {
+    return new PlatformNode(PlatformConfig.parse(config), onFatal);
+  }
+
+  private void abandon(Runnable onFatal) {
+    try {
+      if (gateway != null) {
+        gateway.abandon();
+      }
+    } finally {
+      onFatal.run();
+    }
+  }
+
+  LiveLoop loop() {
+    return loop;
   }
 
   public InetSocketAddress address() {
--- a/src/test/java/gapproxy/platform/PlatformTest.java
+++ b/src/test/java/gapproxy/platform/PlatformTest.java
@@ -594,4 +594,22 @@
     PlatformNode.Bad e = assertThrows(PlatformNode.Bad.class, () -> PlatformNode.start("{\"seed\":\"x\"}".getBytes(StandardCharsets.UTF_8)));
     assertTrue(e.getMessage().contains("/seed"), e.getMessage());
   }
+
+  /** An error that ends the loop: what is in hand is answered as failed, and the owner is told to end the process. */
+  @Test
+  void anErrorOnTheLoopAnswersWhatIsInHandAndIsTold() throws Exception {
+    node.close();
+    CountDownLatch fatal = new CountDownLatch(1);
+    node = PlatformNode.start(config(), fatal::countDown);
+    loop.call(() -> site.script = (m, x) -> x.request.path().startsWith("/v1/"));
+    try (Socket s = connect()) {
+      s.getOutputStream().write(req("f1").getBytes(StandardCharsets.UTF_8));
+      assertTrue(holds(() -> site.asked.containsKey("POST /v1/chat/completions")));
+      node.loop().execute(() -> {
+        throw new AssertionError("planted");
+      });
+      assertEquals(502, status(answer(s)));
+    }
+    assertTrue(fatal.await(5, TimeUnit.SECONDS));
+  }
 }
--- a/src/test/java/gapproxy/runtime/LiveLoopTest.java
+++ b/src/test/java/gapproxy/runtime/LiveLoopTest.java
@@ -1,19 +1,40 @@
 package gapproxy.runtime;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 
 class LiveLoopTest {
   private static final long SECONDS = 5;
 
+  /** An error ends the loop, as its state can't be trusted any longer; whoever owns the process is told. */
+  @Test
+  void anErrorInATaskEndsTheLoopAndIsTold() throws Exception {
+    AtomicReference<Throwable> told = new AtomicReference<>();
+    CountDownLatch ended = new CountDownLatch(1);
+    LiveLoop loop = new LiveLoop("error", cause -> {
+      told.set(cause);
+      ended.countDown();
+    });
+    loop.execute(() -> {
+      throw new AssertionError("planted");
+    });
+    assertTrue(ended.await(SECONDS, TimeUnit.SECONDS), "nobody is told that the loop's thread has ended");
+    assertEquals("planted", told.get().getMessage());
+    assertEquals(1, loop.failures());
+  }
+
   /** A caller that waits for a loop that has ended is not kept for ever. */
   @Test
   void aCallToALoopThatEndedReturns() throws Exception {
     CountDownLatch returned = new CountDownLatch(1);
-    LiveLoop loop = new LiveLoop("ended");
+    LiveLoop loop = new LiveLoop("ended", cause -> { });
     Thread caller = new Thread(() -> {
       loop.call(() -> {
         throw new StackOverflowError("planted");
@@ -25,4 +46,33 @@
     caller.start();
     assertTrue(returned.await(SECONDS, TimeUnit.SECONDS), "it waits for work that never runs");
   }
+
+  /** One request's fault does not end the others. */
+  @Test
+  void anExceptionInATaskIsCountedAndTheLoopGoesOn() throws Exception {
+    CountDownLatch later = new CountDownLatch(1);
+    LiveLoop loop = new LiveLoop("exception", cause -> { });
+    loop.execute(() -> {
+      throw new IllegalStateException("planted");
+    });
+    loop.execute(later::countDown);
+    assertTrue(later.await(SECONDS, TimeUnit.SECONDS));
+    assertEquals(1, loop.failures());
+    loop.close();
+  }
+
+  /** Timers that were cancelled don't wait in the queue until they would have been due. */
+  @Test
+  void cancelledTimersLeaveTheQueue() throws Exception {
+    LiveLoop loop = new LiveLoop("timers", cause -> { });
+    AtomicInteger waiting = new AtomicInteger();
+    loop.call(() -> {
+      for (int i = 0; i < 10_000; i++) {
+        loop.after(Duration.ofMinutes(10), () -> { }).cancel();
+      }
+      waiting.set(loop.timers());
+    });
+    loop.close();
+    assertTrue(waiting.get() < 2_000, waiting.get() + " cancelled timers are kept");
+  }
 }
