Red test: a stepped wall clock makes a server that has just started a warm one

Cause: Fleet.up takes a list's start from the loop's time by the wall clock of the moment in which the list comes; where list and machine share one clock the guard by the last list is off.

--- a/src/test/java/gapproxy/gateway/StartTimesTest.java
+++ b/src/test/java/gapproxy/gateway/StartTimesTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Start times of servers when the wall clock is set. */
@@ -90,4 +91,27 @@
     off = Duration.ZERO;
     assertEquals(Duration.ofSeconds(200), up(f, 4, again));
   }
+
+  private static Terms oneClock() throws Exception {
+    Terms t = Terms.of(config());
+    return new Terms(t.name(), t.settings(), t.groups(), t.zones(), t.kinds(), t.releaseWithin(), t.longestAnswer(), t.tokenGap(),
+        t.stop(), t.openReqs(), true);
+  }
+
+  /** Where servers' clocks and this machine's are one, a start is where it truly was, whichever way this machine's is stepped. */
+  @Test
+  void aSteppedClockMakesNoColdServerWarmAndNoneColdForLonger() throws Exception {
+    for (Duration step : List.of(Duration.ofHours(1), Duration.ofHours(-1), Duration.ofSeconds(7), Duration.ofSeconds(-7))) {
+      now = Duration.ofSeconds(100);
+      off = Duration.ZERO;
+      Fleet f = new Fleet(oneClock(), loop, a -> { });
+      up(f, 1, EPOCH.plusSeconds(40));
+      now = Duration.ofSeconds(200);
+      off = step;
+      assertEquals(Duration.ofSeconds(198), up(f, 2, EPOCH.plusSeconds(198)), "started 2 s ago, clock stepped by " + step);
+      now = Duration.ofSeconds(300);
+      off = Duration.ZERO;                                    // and back
+      assertEquals(Duration.ofSeconds(298), up(f, 3, EPOCH.plusSeconds(298)), "and back from " + step);
+    }
+  }
 }
