A stepped wall clock moves no server's start

Cause: Fleet.up placed each start by the wall clock of that moment. Test changed: aStartStaysWhereItWas demanded 200 s, the guard's bound, for a start truly at 228 s; it demands 228 s now, and the bound has a test of its own with a clock ahead from the beginning, for both kinds of terms.

--- a/src/test/java/gapproxy/gateway/StartTimesTest.java
+++ b/src/test/java/gapproxy/gateway/StartTimesTest.java
@@ -87,9 +87,24 @@
     assertEquals(Duration.ofSeconds(40), up(f, 2, first));
     now = Duration.ofSeconds(230);
     Instant again = EPOCH.plusSeconds(228);                   // truly 2 s ago, by the wrong clock 302 s
-    assertEquals(Duration.ofSeconds(200), up(f, 3, again), "not before the list that did not have it");
+    assertEquals(Duration.ofSeconds(228), up(f, 3, again), "where it truly was");
     off = Duration.ZERO;
-    assertEquals(Duration.ofSeconds(200), up(f, 4, again));
+    assertEquals(Duration.ofSeconds(228), up(f, 4, again));
+  }
+
+  /** A process that begins with a clock that is ahead sees no step; the list that did not have a start tells. */
+  @Test
+  void aClockThatIsAheadFromTheBeginningMakesNoServerWarm() throws Exception {
+    off = Duration.ofMinutes(5);
+    for (Terms terms : List.of(Terms.of(config()), oneClock())) {
+      now = Duration.ofSeconds(100);
+      Fleet f = new Fleet(terms, loop, a -> { });
+      up(f, 1, EPOCH.plusSeconds(40));
+      now = Duration.ofSeconds(200);
+      up(f, 2, EPOCH.plusSeconds(40));
+      now = Duration.ofSeconds(230);
+      assertEquals(Duration.ofSeconds(200), up(f, 3, EPOCH.plusSeconds(228)), "not before the list that did not have it");
+    }
   }
 
   private static Terms oneClock() throws Exception {
