Red test: what a read left stays held while its write goes to a silent server

Lines at fault: Gateway.forward and end: a write counts as out from the moment it is decided, so nothing is freed until it ends. Change: the test, and the trace of attempts, reservations and releases at debug.

--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -368,6 +368,7 @@
     Req.Forward f = new Req.Forward(r, s, a.path(), loop.now(), a.latest());
     r.forwards.add(f);
     counts.forwards++;
+    trace(f, "attempt begins");
     if (s == null) {
       end(f, Outcome.NOT_SENT, 0, "the server is gone");
       return;
@@ -397,6 +398,7 @@
         @Override
         public void sent() {
           f.sentOut = true;
+          trace(f, "read is on its way");
           Action.Hold wanted = r.wanted;
           r.wanted = null;
           if (wanted != null && f.out()) {
@@ -529,6 +531,7 @@
     }
     watcher.accept(r.stage().name(), "first token");
     f.begun = true;
+    trace(f, "first token");
     r.begun = f;
     f.limit.cancel();
     r.lastChunk = loop.now();
@@ -638,6 +641,7 @@
     watcher.accept(r.stage().name(), f.path.name().toLowerCase(Locale.ROOT) + " ended " + how.name().toLowerCase(Locale.ROOT));
     f.how = how;
     f.why = why;
+    trace(f, "attempt ended");
     if (f.limit != null) {
       f.limit.cancel();
     }
@@ -653,6 +657,22 @@
     settle(r);
   }
 
+  /** A request as its client, or where the client gives no id this gateway, names it. */
+  private static String requestId(Req r) {
+    return r.client.id() != null ? r.client.id() : r.name;
+  }
+
+  private void trace(Req.Forward f, String what) {
+    LOG.atDebug().addKeyValue("request_id", requestId(f.req)).addKeyValue("attempt", f.number).addKeyValue("path", f.path)
+        .addKeyValue("server", f.at == null ? null : f.at.address()).addKeyValue("state", f.req.stage())
+        .addKeyValue("outcome", f.how).addKeyValue("cause", f.why).log(what);
+  }
+
+  private void trace(Req r, Fleet.Server at, String what, String cause) {
+    LOG.atDebug().addKeyValue("request_id", requestId(r)).addKeyValue("server", at.address()).addKeyValue("state", r.stage())
+        .addKeyValue("cause", cause).log(what);
+  }
+
   /**
    * Lets go of a req once it has its answer and nothing is out. It is forgotten only after the decisions have heard so: those
    * made before may still name it, and a forward of theirs that got no end would count as unanswered there for good.
@@ -685,6 +705,7 @@
       return;
     }
     leave(r);
+    trace(r, s, "reservation is asked for", "");
     Req.Place p = new Req.Place(s, r.client.id() != null ? r.client.id() : r.name + "-p" + r.forwards.size());
     r.place = p;
     servers.hold(s.address(), p.id(), r.client, terms.releaseWithin(), new Servers.Holding() {
@@ -702,6 +723,7 @@
 
   private void held(Req r, Req.Place p, boolean well, boolean sure) {
     boolean wanted = r.place == p;
+    trace(r, p.at(), "reservation is answered", well ? "held" : sure ? "not held" : "unknown");
     if (wanted && !well) {
       r.place = null;
     }
@@ -777,7 +799,7 @@
     r.limit.cancel();
     give.run();
     Duration took = loop.now().minus(r.taken);
-    REQS.atInfo().addKeyValue("id", r.name).addKeyValue("group", terms.groups().get(r.ask.group())).addKeyValue("end", end)
+    REQS.atInfo().addKeyValue("id", r.name).addKeyValue("request_id", requestId(r)).addKeyValue("group", terms.groups().get(r.ask.group())).addKeyValue("end", end)
         .addKeyValue("cause", by == '-' ? "--" : "" + by + stage.letter).addKeyValue("path", r.path())
         .addKeyValue("forwards", r.forwards.size()).addKeyValue("server", lastServer(r))
         .addKeyValue("read_ms", ms(r.readEnd)).addKeyValue("first_token_ms", ms(r.firstToken))
--- a/src/main/java/gapproxy/gateway/Held.java
+++ b/src/main/java/gapproxy/gateway/Held.java
@@ -83,7 +83,11 @@
       }
       Duration begun = loop.now();
       InetSocketAddress to = next(early);
+      LOG.atDebug().addKeyValue("request_id", id).addKeyValue("held_at", at).addKeyValue("server", to).addKeyValue("call", calls)
+          .log("release is sent");
       servers.free(to, id, early ? within : each.multipliedBy(2), (well, any) -> {
+        LOG.atDebug().addKeyValue("request_id", id).addKeyValue("server", to).addKeyValue("acknowledged", well)
+            .addKeyValue("ms", loop.now().minus(begun).toMillis()).log("release is answered");
         if (over) {
           return;
         } else if (well && (any || !unsure)) {
--- a/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
+++ b/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
@@ -156,6 +156,7 @@
     final List<Holding> holds = new ArrayList<>();
     final List<Integer> holdsAt = new ArrayList<>();
     final List<String> frees = new ArrayList<>();
+    boolean silent;                                           // probes get no answer
 
     @Override
     public HttpClient.Call read(InetSocketAddress to, String id, Client of, Duration within, Reading then) {
@@ -179,7 +180,9 @@
 
     @Override
     public void probe(InetSocketAddress to, BiConsumer<double[], Verdict> then) {
-      then.accept(new double[] {0, 0, 0, 0}, null);
+      if (!silent) {
+        then.accept(new double[] {0, 0, 0, 0}, null);
+      }
     }
 
     @Override
@@ -422,4 +425,19 @@
     turn(Duration.ofSeconds(1));
     assertEquals(List.of("first"), ends);
   }
+
+  /**
+   * The decode server fell silent: the write on a connection that has rested never arrives, so it is not out, and what the prefill
+   * server holds for it has to be released in time.
+   */
+  @Test
+  void aStateIsReleasedInTimeThoughItsWriteGoesToASilentServer() {
+    ask();
+    servers.reads.get(0).read("", 0, 0);
+    servers.silent = true;
+    turn(TURN);
+    assertEquals(1, servers.writes.size());
+    turn(Duration.ofMillis(900));
+    assertTrue(servers.frees.contains("r"), "held by a write that nobody has got");
+  }
 }
