What is held is released in time though its attempt never arrived

The decisions are told that the state is gone by the note that 410 has, and may read anew. Also for a place held while its read never arrives.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -874,7 +874,8 @@
       running--;
       mail.post(t.at, new Note.Over(t, e));
       closed |= e.closed();
-      boolean noState = e.outcome() == Outcome.FULL && e.note() == 1;
+      boolean noState = e.note() == 1 && (e.outcome() == Outcome.FULL || e.outcome() == Outcome.TIMED_OUT
+          || e.outcome() == Outcome.NO_CONNECTION);           // it is gone, or was released
       stateAt = e.outcome() == Outcome.READ ? t.at : noState ? null : stateAt;
       if (closed ? e.outcome() != Outcome.DONE : t.read && holding && e.outcome() != Outcome.READ) {
         letGo();
--- a/src/main/java/gapproxy/api/Event.java
+++ b/src/main/java/gapproxy/api/Event.java
@@ -36,7 +36,10 @@
     }
   }
 
-  /** How a forward ended; {@code note} is kept tokens, -1 where that is not told, or 1 with FULL where there was no state. */
+  /**
+   * How a forward ended; {@code note} is kept tokens, -1 where that is not told, or 1 with FULL, TIMED_OUT and NO_CONNECTION where there
+   * is no state to fetch any longer.
+   */
   record Ended(long req, int forward, Outcome outcome, long note, boolean closed,
       Duration took, double[] report) implements OfReq {}
 
--- a/src/main/java/gapproxy/engine/Engines.java
+++ b/src/main/java/gapproxy/engine/Engines.java
@@ -49,6 +49,10 @@
       return true;
     }
 
+    /** All of it has been handed to the system. */
+    default void sent() {
+    }
+
     /** The state waits at the reader under these parameters; so many prompt tokens were found kept. */
     void read(JsonNode transfer, long keptTokens, long promptTokens);
 
@@ -62,6 +66,10 @@
       return true;
     }
 
+    /** All of it has been handed to the system. */
+    default void sent() {
+    }
+
     void chunk(Chunk chunk);
 
     /** No more chunks came with the same bytes. */
@@ -104,6 +112,11 @@
           public boolean wanted() {
             return then.wanted();
           }
+
+          @Override
+          public void sent() {
+            then.sent();
+          }
         });
   }
 
@@ -221,6 +234,11 @@
       return then.wanted();
     }
 
+    @Override
+    public void sent() {
+      then.sent();
+    }
+
     private void event(String data) {
       if (over) {
         return;
--- a/src/main/java/gapproxy/gateway/EngineServers.java
+++ b/src/main/java/gapproxy/gateway/EngineServers.java
@@ -32,6 +32,11 @@
         return then.wanted();
       }
 
+      @Override
+      public void sent() {
+        then.sent();
+      }
+
       @Override
       public void read(JsonNode transfer, long kept, long prompt) {
         then.read(transfer, kept, prompt);
@@ -54,6 +59,11 @@
         return then.wanted();
       }
 
+      @Override
+      public void sent() {
+        then.sent();
+      }
+
       @Override
       public void chunk(Chunk chunk) {
         JsonNode usage = chunk.usage();
@@ -81,6 +91,11 @@
     });
   }
 
+  @Override
+  public Duration lastHeard(InetSocketAddress from) {
+    return http.lastHeard(from);
+  }
+
   @Override
   public void probe(InetSocketAddress to, BiConsumer<double[], Verdict> then) {
     engines.probe(to, then);
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -49,6 +49,7 @@
   private final Servers servers;
   private final Fleet fleet;
   private final Held held;
+  private final ReleaseWatch releaseWatch;
   private final ListSource source;
   private final Path remembered;
   private final String run;
@@ -101,6 +102,7 @@
     rules = new Rules(terms.settings(), seed);
     fleet = new Fleet(terms, loop, servers::forget);
     held = new Held(servers, loop, terms.releaseWithin(), fleet::others);
+    releaseWatch = new ReleaseWatch(loop, servers, terms.releaseWithin(), this::releaseNow);
     run = terms.name() + "-" + Long.toString(loop.wall().toEpochMilli(), 36);
     this.source = source.apply(new Lists());
   }
@@ -397,7 +399,7 @@
 
         @Override
         public void sent() {
-          f.sentOut = true;
+          releaseWatch.sent(f);
           trace(f, "read is on its way");
           Action.Hold wanted = r.wanted;
           r.wanted = null;
@@ -461,6 +463,11 @@
       return mayBegin(f);
     }
 
+    @Override
+    public void sent() {
+      releaseWatch.sent(f);
+    }
+
     @Override
     public void report(double[] figures) {
       f.report = figures;
@@ -645,7 +652,7 @@
     if (f.limit != null) {
       f.limit.cancel();
     }
-    if (f.call != null && (how == Outcome.CANCELLED || how == Outcome.TIMED_OUT)) {
+    if (f.call != null && (how == Outcome.CANCELLED || how == Outcome.TIMED_OUT || how == Outcome.NO_CONNECTION)) {
       f.call.cancel();
     }
     if (f.path == Action.Path.READ && how != Outcome.READ && how != Outcome.NOT_SENT && how != Outcome.NO_CONNECTION
@@ -655,6 +662,31 @@
     pending.add(new Event.Ended(r.number, f.number, how, note, r.answered, loop.now().minus(f.sent),
         f.report));
     settle(r);
+    releaseWatch.changed(r);
+  }
+
+  /**
+   * Ends the attempts of a request and releases what is held for it, since none of them is known to have arrived. The decisions are
+   * told that the state is gone, and may read anew.
+   */
+  private void releaseNow(Req r) {
+    trace(r, "what is held is released, as no attempt is known to have arrived");
+    Fleet.Server at = r.state != null ? r.state.at() : r.place != null ? r.place.at() : r.unsure.iterator().next();
+    if (r.client.id() == null) {
+      freeState(r);
+      leave(r);
+    } else {
+      r.state = null;
+      r.place = null;
+      r.unsure.clear();
+      held.free(at.address(), r.client.id(), true);
+    }
+    for (Req.Forward f : r.forwards) {
+      if (f.out()) {
+        boolean sent = f.sentAt != null;
+        end(f, sent ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION, 1, "not known to have arrived");
+      }
+    }
   }
 
   /** A request as its client, or where the client gives no id this gateway, names it. */
@@ -668,6 +700,10 @@
         .addKeyValue("outcome", f.how).addKeyValue("cause", f.why).log(what);
   }
 
+  private void trace(Req r, String what) {
+    LOG.atDebug().addKeyValue("request_id", requestId(r)).addKeyValue("state", r.stage()).log(what);
+  }
+
   private void trace(Req r, Fleet.Server at, String what, String cause) {
     LOG.atDebug().addKeyValue("request_id", requestId(r)).addKeyValue("server", at.address()).addKeyValue("state", r.stage())
         .addKeyValue("cause", cause).log(what);
@@ -700,7 +736,7 @@
       return;
     }
     Req.Forward last = r.forwards.isEmpty() ? null : r.forwards.get(r.forwards.size() - 1);
-    if (last != null && last.path == Action.Path.READ && last.out() && !last.sentOut) {
+    if (last != null && last.path == Action.Path.READ && last.out() && last.sentAt == null) {
       r.wanted = a;                                           // a server may know a place only beside a read that is out
       return;
     }
@@ -708,6 +744,7 @@
     trace(r, s, "reservation is asked for", "");
     Req.Place p = new Req.Place(s, r.client.id() != null ? r.client.id() : r.name + "-p" + r.forwards.size());
     r.place = p;
+    releaseWatch.changed(r);
     servers.hold(s.address(), p.id(), r.client, terms.releaseWithin(), new Servers.Holding() {
       @Override
       public boolean wanted() {
@@ -730,7 +767,7 @@
     if (!sure) {
       unsure(r, p.at(), p.id());                             // the answer may be lost and the place held
     } else if (well && !wanted && r.client.id() == null) {
-      held.free(p.at().address(), p.id());                   // given up, or its stream begun, before it was held
+      held.free(p.at().address(), p.id(), false);                   // given up, or its stream begun, before it was held
     } else if (well && !wanted) {
       unsure(r, p.at(), p.id());
     }
@@ -744,7 +781,7 @@
   private void leave(Req r) {
     if (r.place != null) {
       if (r.client.id() == null) {
-        held.free(r.place.at().address(), r.place.id());
+        held.free(r.place.at().address(), r.place.id(), false);
       } else {
         r.unsure.add(r.place.at());
       }
@@ -755,7 +792,7 @@
   private void freeState(Req r) {
     if (r.state != null) {
       if (r.client.id() == null) {
-        held.free(r.state.at().address(), r.state.id());
+        held.free(r.state.at().address(), r.state.id(), false);
       } else {
         r.unsure.add(r.state.at());
       }
--- a/src/main/java/gapproxy/gateway/Held.java
+++ b/src/main/java/gapproxy/gateway/Held.java
@@ -31,9 +31,13 @@
     each = within.dividedBy(TRIES + 1);
   }
 
-  /** Frees what is known to be held. */
-  void free(InetSocketAddress at, String id) {
-    new Freeing(at, id, false, false).next();
+  /**
+   * Frees what is known to be held.
+   *
+   * @param anywhere whether every server frees it
+   */
+  void free(InetSocketAddress at, String id, boolean anywhere) {
+    new Freeing(at, id, false, anywhere).next();
   }
 
   /**
--- a/src/main/java/gapproxy/gateway/Req.java
+++ b/src/main/java/gapproxy/gateway/Req.java
@@ -26,7 +26,8 @@
     Loop.Timer limit;
     Outcome how;
     final List<Object> early = new ArrayList<>();             // pieces that came before its first token
-    boolean sentOut;                                          // all of a read is on its way
+    Duration sentAt;                                          // when its last byte was handed to the system, or null
+    boolean arrived;                                          // its server has answered something since
     boolean begun;
     boolean waits;                                            // for the end of the turn, to be written
     double[] report = new double[0];                          // that came with its answer
@@ -65,6 +66,8 @@
   Loop.Timer limit;
   Action.Hold wanted;                                         // until the read is sent
   final Set<Fleet.Server> unsure = new LinkedHashSet<>();     // something may be held for it there that no answer told of
+  Duration uncoveredSince;                                    // held with no attempt known to have arrived, or null
+  Loop.Timer releaseCheck;
   boolean answered;
   boolean paused;
   Duration firstToken, readEnd, lastChunk;
@@ -78,6 +81,11 @@
     this.taken = taken;
   }
 
+  /** Whether a server holds something for it, or may. */
+  boolean mayHold() {
+    return state != null || place != null || !unsure.isEmpty();
+  }
+
   boolean anyOut() {
     return forwards.stream().anyMatch(Forward::out);
   }
--- a/src/main/java/gapproxy/gateway/Servers.java
+++ b/src/main/java/gapproxy/gateway/Servers.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /** The servers' side of a gateway: carries out what was decided, and tells what came of it. On the loop. */
 public interface Servers {
@@ -20,6 +21,10 @@
   interface Sending extends Telling {
     /** Whether it is to be sent still: its client waits for it, and its server takes new work. */
     boolean wanted();
+
+    /** All of the request has been handed to the system. */
+    default void sent() {
+    }
   }
 
   /** What becomes of a place that is asked for. */
@@ -33,9 +38,6 @@
 
   /** What becomes of a read. */
   interface Reading extends Sending {
-    /** All of the request is on its way. */
-    void sent();
-
     /** The state waits at the reader; so many prompt tokens were found kept, -1 if that is not told. */
     void read(Object state, long kept, long prompt);
 
@@ -79,6 +81,16 @@
     return of;
   }
 
+  /** When anything last came from a server, on the loop's clock, or null. */
+  default Duration lastHeard(InetSocketAddress from) {
+    return null;
+  }
+
+  /** Asks whether a server answers at all. */
+  default void answers(InetSocketAddress at, Consumer<Boolean> then) {
+    probe(at, (report, how) -> then.accept(how == null || how.kind() != Verdict.Kind.NO_CONNECTION && how.kind() != Verdict.Kind.BROKEN));
+  }
+
   /** Asks how a server stands; no figures where it does not tell, a verdict where it does not answer. */
   void probe(InetSocketAddress to, BiConsumer<double[], Verdict> then);
 
--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -160,6 +161,37 @@
     });
   }
 
+  /** Opens a connection for the pool; tells whether it came up in time. */
+  public void open(InetSocketAddress to, Duration connectWithin, Consumer<Boolean> then) {
+    if (open >= most && !evict()) {
+      loop.execute(() -> then.accept(false));
+      return;
+    }
+    new Call(to, "", "", Map::of, new byte[0], new Listener() {
+      @Override
+      public boolean wanted() {
+        return false;                                         // nothing is sent on it
+      }
+
+      @Override
+      public void head(int status, Map<String, String> headers) {
+      }
+
+      @Override
+      public void data(byte[] bytes) {
+      }
+
+      @Override
+      public void end() {
+      }
+
+      @Override
+      public void failed(Failure how, String why) {
+        then.accept(how == Failure.NOT_WANTED);
+      }
+    }).connect(connectWithin);
+  }
+
   /** Closes one connection that waits in a pool, for another that is needed. */
   private boolean evict() {
     for (ArrayDeque<Wire> wires : pool.values()) {
@@ -177,6 +209,11 @@
     return of.stream().sorted(Comparator.comparing(a -> heard.getOrDefault(a, Duration.ZERO), Comparator.reverseOrder())).toList();
   }
 
+  /** When anything last came from an address, on the loop's clock, or null. */
+  public Duration lastHeard(InetSocketAddress from) {
+    return heard.get(from);
+  }
+
   /** Closes the connections that wait in the pool, all or those to one address, which is then forgotten. */
   public void closeIdle(InetSocketAddress to) {
     heard.remove(to);
--- a/src/main/java/gapproxy/platform/PlatformServers.java
+++ b/src/main/java/gapproxy/platform/PlatformServers.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /** Model servers that speak the platform's protocol, for {@link PlatformClients}. */
 final class PlatformServers implements Servers {
@@ -108,6 +109,11 @@
       return then.wanted();
     }
 
+    @Override
+    public void sent() {
+      then.sent();
+    }
+
     @Override
     public void head(int s, Map<String, String> h) {
       status = s;
@@ -190,6 +196,21 @@
     return http.lastHeardFirst(of);
   }
 
+  @Override
+  public Duration lastHeard(InetSocketAddress from) {
+    return http.lastHeard(from);
+  }
+
+  /** By a probe, or where the settings allow none by a connection that comes up and is kept for the next request. */
+  @Override
+  public void answers(InetSocketAddress at, Consumer<Boolean> then) {
+    if (wire.settings().limits().probes()) {
+      Servers.super.answers(at, then);
+    } else {
+      http.open(at, wire.connectWithin(), then);
+    }
+  }
+
   @Override
   public void probe(InetSocketAddress to, BiConsumer<double[], Verdict> then) {
     http.whole(to, "GET", Wire.LOAD_PROBE, Map.of(), NONE, wire.connectWithin(), wire.connectWithin().multipliedBy(2),
--- a/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
+++ b/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
@@ -440,4 +440,28 @@
     turn(Duration.ofMillis(900));
     assertTrue(servers.frees.contains("r"), "held by a write that nobody has got");
   }
+
+  /** A slow server that answers when it is asked has the write; its state stays. */
+  @Test
+  void aStateIsKeptForAWriteAtASlowServerThatAnswers() {
+    ask();
+    servers.reads.get(0).read("", 0, 0);
+    turn(TURN);
+    servers.writes.get(0).sent();
+    turn(Duration.ofMillis(900));
+    assertEquals(List.of(), servers.frees);
+    assertTrue(servers.writes.get(0).wanted());
+  }
+
+  /** A place that may be held while the read for it never arrives is released as well. */
+  @Test
+  void aPlaceIsReleasedInTimeThoughItsReadGoesToASilentServer() {
+    ask();
+    servers.silent = true;
+    servers.reads.get(0).sent();
+    turn(TURN);
+    servers.holds.get(0).answered(true, true);
+    turn(Duration.ofMillis(900));
+    assertTrue(servers.frees.contains("r"), "held for a read that nobody has got");
+  }
 }
