--- a/src/main/java/gapproxy/standin/PlatformSite.java
+++ b/src/main/java/gapproxy/standin/PlatformSite.java
@@ -137,6 +137,8 @@
   public boolean silent;
   /** Whether discovery's next answers are a head alone. */
   public boolean headOnly;
+  /** How long discovery takes before it answers a call. */
+  public Duration discoveryDelay = Duration.ZERO;
   /** Whether the discovery before stays when another one begins. */
   public boolean keepsOld;
   private final List<Exchange> calls = new ArrayList<>();
@@ -172,13 +174,7 @@
     discovery = HttpServer.open(loop, net, new InetSocketAddress("127.0.0.1", 0), Caps.DEFAULT, (x, decoded) -> {
       asked.merge("watch", 1, Integer::sum);
       if (!silent) {
-        x.begin(200, JSON);
-        if (headOnly) {
-          x.write("\n");
-          return;
-        }
-        say(x, hosts(models));
-        watches.add(x);
+        loop.after(discoveryDelay, () -> answerWatch(x));
       }
     });
     if (before != null && !keepsOld) {
@@ -186,6 +182,19 @@
     }
   }
 
+  private void answerWatch(Exchange x) {
+    if (!x.open()) {
+      return;
+    }
+    x.begin(200, JSON);
+    if (headOnly) {
+      x.write("\n");
+      return;
+    }
+    say(x, hosts(models));
+    watches.add(x);
+  }
+
   public InetSocketAddress discovery() {
     return discovery.address();
   }
--- a/src/test/java/gapproxy/platform/PlatformTest.java
+++ b/src/test/java/gapproxy/platform/PlatformTest.java
@@ -612,4 +612,22 @@
     }
     assertTrue(fatal.await(5, TimeUnit.SECONDS));
   }
+
+  /** Discovery that is crowded takes its time; asking it anew all the while must not keep its list out. */
+  @Test
+  void aDiscoveryThatAnswersSlowlyIsHeard() throws Exception {
+    node.close();
+    loop.call(() -> {
+      site.discoveryDelay = Duration.ofMillis(900);
+      site.asked.clear();
+    });
+    node = PlatformNode.start(new String(config(), StandardCharsets.UTF_8).replaceFirst("\"known\":\\{.*\\},\n", "\"known\":null,\n")
+        .getBytes(StandardCharsets.UTF_8));
+    boolean ready = false;
+    for (int i = 0; i < 30 && !ready; i++) {
+      ready = status(ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n")) == 200;
+      new CountDownLatch(1).await(100, TimeUnit.MILLISECONDS);
+    }
+    assertTrue(ready, "no list after 3 s and " + site.asked.get("watch") + " calls");
+  }
 }
