A call of the watch that is slow is waited for beside the next ones

Change: Watch makes its next call beside the one that waits, eight at most, follows whichever brings a list first and ends the others; a move of discovery and a silent watch are logged.

--- a/src/main/java/gapproxy/platform/Watch.java
+++ b/src/main/java/gapproxy/platform/Watch.java
@@ -7,27 +7,36 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Discovery's watch: one answer that stays open, with JSON objects and, between them, signs of life. Belongs to one loop.
- * What discovery has to tell counts as told 6 s later, so silence, the next calls and the waits between them stay well inside that.
+ *
+ * <p>What discovery has to tell counts as told 6 s later, so silence, the next calls and the waits between them stay well inside that.
+ * Where a call brings no list at once another one is made beside it: whichever brings one first is followed, and the others are ended.
+ * A discovery that is slow is so still heard, and one that lost a call is asked again soon.
  */
 final class Watch implements ListSource {
+  private static final Logger LOG = LoggerFactory.getLogger(Watch.class);
   static final Duration FIRST = Duration.ofMillis(500);       // the agent is on this machine and answers at once
   private static final Duration AGAIN = Duration.ofMillis(100);
   private static final Duration SILENT = Duration.ofSeconds(3); // half as long again as the time between signs of life
+  private static final int MOST_WAITING = 8;                  // calls without a list at a time: each is waited for 4 s
 
   private final HttpClient http;
   private final Loop loop;
   private final Duration connectWithin;
   private final Members members;
   private final ListSource.Listener listener;
+  private final Deque<Attempt> waiting = new ArrayDeque<>();  // for their first list, oldest first
+  private Attempt followed;
   private InetSocketAddress at;
   private long index = -1;
-  private HttpClient.Call call;
   private Loop.Timer timer;
-  private int round;
   private boolean wanted, closed;
 
   Watch(InetSocketAddress at, HttpClient http, Loop loop, Duration connectWithin, Members members,
@@ -43,7 +52,7 @@
   @Override
   public void subscribe() {
     wanted = true;
-    if (call == null) {
+    if (followed == null && waiting.isEmpty()) {
       open();
     }
   }
@@ -51,68 +60,39 @@
   /** Discovery has another address now; the whole list is asked for anew. */
   void move(InetSocketAddress to) {
     if (!to.equals(at)) {
+      LOG.atInfo().addKeyValue("from", at).addKeyValue("to", to).log("discovery has another address");
       at = to;
       index = -1;
+      endAll();
       if (wanted) {
         open();
       }
     }
   }
 
+  /** Makes a call, beside those that wait for their first list. */
   private void open() {
     if (closed) {
       return;
     }
-    if (call != null) {
-      call.cancel();
+    if (waiting.size() == MOST_WAITING) {
+      waiting.poll().cancel();
     }
-    int mine = ++round;
-    Objects objects = new Objects();
-    call = http.call(at, "GET", Wire.HOSTS + "?stream=1" + (index < 0 ? "" : "&index=" + index), Map.of(), new byte[0],
-        connectWithin, new HttpClient.Listener() {
-          private boolean well, listed;
-
-          @Override
-          public void head(int status, Map<String, String> headers) {
-            well = status == 200;
-          }
-
-          @Override
-          public void data(byte[] bytes) {
-            if (mine != round || !well) {
-              return;
-            }
-            try {
-              for (byte[] whole : objects.take(bytes)) {
-                listed |= take(whole);
-              }
-              if (listed) {
-                await(SILENT);
-              } else if (objects.amid()) {
-                awaitFirst();                                 // signs of life alone are not what is waited for
-              }
-            } catch (IOException e) {
-              index = -1;                                     // what it said is not known: all of it is asked for
-              call.cancel();
-              again("it can't be read: " + e.getMessage());
-            }
-          }
-
-          @Override
-          public void end() {
-            failed(HttpClient.Failure.BROKEN, "the watch ended");
-          }
-
-          @Override
-          public void failed(HttpClient.Failure how, String why) {
-            if (mine == round) {
-              again(why);
-            }
-          }
-        });
+    Attempt a = new Attempt();
+    waiting.add(a);
+    a.begin();
     awaitFirst();
   }
 
+  private void endAll() {
+    waiting.forEach(Attempt::cancel);
+    waiting.clear();
+    if (followed != null) {
+      followed.cancel();
+      followed = null;
+    }
+  }
+
   /** Guards against an answer that never gives a list: all of it is asked for then, whatever it would say to the last version. */
   private void awaitFirst() {
     set(FIRST, () -> {
@@ -122,12 +102,16 @@
   }
 
   /** Guards against a watch that died without a word. */
-  private void await(Duration span) {
-    set(span, this::open);
+  private void awaitSign() {
+    set(SILENT, () -> {
+      LOG.atInfo().addKeyValue("discovery", at).addKeyValue("cause", "silent").log("the watch is opened anew");
+      followed.cancel();
+      followed = null;
+      open();
+    });
   }
 
   private void again(String why) {
-    call = null;
     listener.failed(why);
     set(AGAIN, this::open);
   }
@@ -139,25 +123,100 @@
     timer = closed ? null : loop.after(span, then);
   }
 
-  /** Whether it is a list, or changes of one. */
-  private boolean take(byte[] text) throws IOException {
-    ServerList l = members.list(PlatformConfig.JSON.readTree(text));
-    if (l == null) {
-      return false;
-    } else if (!l.complete() && l.index() < index) {
-      throw new IOException("changes of version " + l.index() + " after version " + index); // discovery has begun anew
-    }
-    index = l.index();
-    listener.list(l);
-    return true;
-  }
-
   @Override
   public void close() {
     closed = true;
+    endAll();
     set(AGAIN, () -> { });
-    if (call != null) {
+  }
+
+  /** One call of the watch. */
+  private final class Attempt implements HttpClient.Listener {
+    private final Objects objects = new Objects();
+    private HttpClient.Call call;
+    private boolean well, over;
+
+    void begin() {
+      call = http.call(at, "GET", Wire.HOSTS + "?stream=1" + (index < 0 ? "" : "&index=" + index), Map.of(), new byte[0],
+          connectWithin, this);
+    }
+
+    void cancel() {
+      over = true;
       call.cancel();
     }
+
+    @Override
+    public void head(int status, Map<String, String> headers) {
+      well = status == 200;
+    }
+
+    @Override
+    public void data(byte[] bytes) {
+      if (over || !well) {
+        return;
+      }
+      try {
+        for (byte[] whole : objects.take(bytes)) {
+          if (take(whole)) {
+            follow();
+          }
+        }
+      } catch (IOException e) {
+        index = -1;                                           // what it said is not known: all of it is asked for
+        cancel();
+        gone("it can't be read: " + e.getMessage());
+        return;
+      }
+      if (followed == this) {
+        awaitSign();
+      } else if (objects.amid() && waiting.peekLast() == this) {
+        awaitFirst();                                         // signs of life alone are not what is waited for
+      }
+    }
+
+    private void follow() {
+      if (followed != this) {
+        waiting.remove(this);
+        endAll();
+        followed = this;
+      }
+    }
+
+    /** Whether it is a list, or changes of one. */
+    private boolean take(byte[] text) throws IOException {
+      ServerList l = members.list(PlatformConfig.JSON.readTree(text));
+      if (l == null) {
+        return false;
+      } else if (!l.complete() && l.index() < index) {
+        throw new IOException("changes of version " + l.index() + " after version " + index); // discovery has begun anew
+      }
+      index = l.index();
+      listener.list(l);
+      return true;
+    }
+
+    @Override
+    public void end() {
+      failed(HttpClient.Failure.BROKEN, "the watch ended");
+    }
+
+    @Override
+    public void failed(HttpClient.Failure how, String why) {
+      if (!over) {
+        over = true;
+        gone(why);
+      }
+    }
+
+    private void gone(String why) {
+      waiting.remove(this);
+      followed = followed == this ? null : followed;
+      if (followed == null && waiting.isEmpty()) {
+        again(why);
+      } else {
+        listener.failed(why);                                 // another call is out
+      }
+    }
   }
 }
