Red test: a start gives up on a busy port, a reload on a half written file

Lines at fault: PlatformNode's constructor binds once; NodeCommand's HUP handler reads the file once, on a thread for each signal, so of two signals the one that read the older file may be applied last.

--- a/src/test/java/gapproxy/platform/SignalCrossingsTest.java
+++ b/src/test/java/gapproxy/platform/SignalCrossingsTest.java
@@ -63,6 +63,68 @@
     }
   }
 
+  /**
+   * A new configuration that is half written when its signal comes is read again: no further signal will come. A predecessor that
+   * still has the port keeps nobody from starting.
+   */
+  @Test
+  void aPortThatIsBusyAndAFileThatIsHalfWrittenAreTriedAgain() throws Exception {
+    LiveLoop loop = new LiveLoop("site");
+    LiveNet net = new LiveNet("site-net", 1);
+    PlatformSite[] site = new PlatformSite[1];
+    ServerSocket predecessor = new ServerSocket(0, 1, java.net.InetAddress.getByName("127.0.0.1"));
+    int port = predecessor.getLocalPort();
+    String[] config = new String[1];
+    loop.call(() -> {
+      try {
+        site[0] = new PlatformSite(loop, net, 1, 1, Duration.ofMillis(2), 2);
+        config[0] = site[0].config("127.0.0.1:" + port);
+      } catch (IOException e) {
+        throw new java.io.UncheckedIOException(e);
+      }
+    });
+    Path file = Files.writeString(folder.resolve("config.json"), config[0]);
+    ProcessBuilder b = new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-XX:TieredStopAtLevel=1", "-cp",
+        System.getProperty("java.class.path"), "gapproxy.cli.Main", "node").redirectErrorStream(true);
+    b.environment().put("LB_CONFIG", file.toString());
+    Process node = b.start();
+    try {
+      assertTrue(!node.waitFor(1500, TimeUnit.MILLISECONDS), "it gave up, as its predecessor had the port for a moment");
+      predecessor.close();
+      open(port).close();
+      int before = watches(loop, site[0], 1);
+      loop.call(() -> {
+        try {
+          site[0].discover();
+          config[0] = site[0].config("127.0.0.1:" + port);
+        } catch (IOException e) {
+          throw new java.io.UncheckedIOException(e);
+        }
+      });
+      Files.writeString(file, config[0].substring(0, config[0].length() / 2));
+      signal(node, "HUP");
+      new CountDownLatch(1).await(300, TimeUnit.MILLISECONDS);
+      Files.writeString(file, config[0]);
+      assertTrue(watches(loop, site[0], before + 1) > before, "it did not follow discovery to its new address");
+    } finally {
+      node.destroyForcibly();
+      loop.call(site[0]::close);
+      loop.close();
+      net.close();
+      predecessor.close();
+    }
+  }
+
+  /** How often the imitated discovery was asked, once that is so many times or three seconds have passed. */
+  private static int watches(LiveLoop loop, PlatformSite site, int least) throws InterruptedException {
+    int[] asked = new int[1];
+    for (int i = 0; i < 300 && asked[0] < least; i++) {
+      new CountDownLatch(1).await(10, TimeUnit.MILLISECONDS);
+      loop.call(() -> asked[0] = site.asked.getOrDefault("watch", 0));
+    }
+    return asked[0];
+  }
+
   /** Connects as soon as the port is open. */
   private static Socket open(int port) throws Exception {
     for (int i = 0; i < 4000; i++) {
