--- a/src/main/java/gapproxy/cli/NodeCommand.java
+++ b/src/main/java/gapproxy/cli/NodeCommand.java
@@ -8,6 +8,8 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.LoggerFactory;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import sun.misc.Signal;
@@ -15,6 +17,8 @@
 @Command(name = "node", description = "Runs a gateway on the platform, from the file that LB_CONFIG names.")
 final class NodeCommand implements Callable<Integer> {
   static final String LEVEL = "warn";
+  private static final int RELOAD_TRIES = 20;
+  private static final long RELOAD_AGAIN_MS = 100;
 
   @Option(names = "--log-level", defaultValue = NodeCommand.LEVEL, paramLabel = "LEVEL", description = "Default: ${DEFAULT-VALUE}.")
   private String level = LEVEL;
@@ -70,9 +74,7 @@
     Signal.handle(new Signal("HUP"), s -> {
       try {
         started.await();
-        node[0].reload(Files.readAllBytes(file));
-      } catch (IOException e) {
-        System.err.println("can't read " + file + ": " + e.getMessage());
+        reload(file, node[0]);
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       }
@@ -86,4 +88,24 @@
       }
     });
   }
+
+  /**
+   * Reads the configuration until it can be used, for a while: it may be half written when its signal comes, and no further signal
+   * would come. One signal at a time, each reading the file anew, so that what an earlier one read is never applied after a later one.
+   */
+  private static synchronized void reload(Path file, PlatformNode node) throws InterruptedException {
+    String why = "";
+    for (int i = 0; i < RELOAD_TRIES; i++) {
+      try {
+        node.follow(Files.readAllBytes(file));
+        return;
+      } catch (PlatformNode.Bad | IOException e) {
+        why = e.getMessage();
+        TimeUnit.MILLISECONDS.sleep(RELOAD_AGAIN_MS);
+      }
+    }
+    LoggerFactory.getLogger(NodeCommand.class).atError()   // not sooner: logging is set up first
+       .addKeyValue("file", file).addKeyValue("why", why)
+        .log("the new configuration can't be used; the old one stays in force");
+  }
 }
--- a/src/main/java/gapproxy/platform/PlatformNode.java
+++ b/src/main/java/gapproxy/platform/PlatformNode.java
@@ -10,6 +10,7 @@
 import gapproxy.runtime.LiveLoop;
 import gapproxy.runtime.LiveNet;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
@@ -26,6 +27,7 @@
   private static final Duration STREAM_GAP = Duration.ofMillis(4500); // short of the time that the protocol allows
   private static final Duration KILLED = Duration.ofSeconds(3); // after TERM and later, or the longest budget if less
   private static final Duration AHEAD = Duration.ofMillis(200);
+  private static final Duration PORT_WITHIN = Duration.ofSeconds(5), PORT_AGAIN = Duration.ofMillis(50);
   private static final Duration LONGEST_ANSWER = Duration.ofMinutes(10);
 
   private final LiveLoop loop;
@@ -76,6 +78,29 @@
           return watch;
         }, null, null, c.seed());
     ServerList known = members.list(c.known());
+    try {
+      startListening();
+    } catch (IOException e) {
+      net.close();
+      loop.close();
+      throw e;
+    }
+    remember(known);
+  }
+
+  /** Guards against a predecessor that still has the port: a start that gave up at once would be a gateway that is missing. */
+  private void startListening() throws IOException, InterruptedException {
+    Duration until = loop.now().plus(PORT_WITHIN);
+    for (IOException failed = tryToListen(); failed != null; failed = tryToListen()) {
+      if (!(failed instanceof BindException) || loop.now().compareTo(until) >= 0) {
+        throw failed;
+      }
+      LOG.atWarn().addKeyValue("cause", "port_busy").addKeyValue("why", failed.getMessage()).log("the port is tried again");
+      new CountDownLatch(1).await(PORT_AGAIN.toMillis(), TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private IOException tryToListen() {
     IOException[] failed = new IOException[1];
     loop.call(() -> {
       try {
@@ -84,12 +109,7 @@
         failed[0] = e;
       }
     });
-    if (failed[0] != null) {
-      net.close();
-      loop.close();
-      throw failed[0];
-    }
-    remember(known);
+    return failed[0];
   }
 
   /**
@@ -142,11 +162,20 @@
     return gateway.address();
   }
 
-  /** Follows discovery where the new configuration says; one that can't be used changes nothing. */
+  /**
+   * Follows discovery where the new configuration says.
+   *
+   * @throws Bad if it can't be used; nothing is changed then
+   */
+  public void follow(byte[] config) throws Bad {
+    PlatformConfig c = PlatformConfig.parse(config);
+    loop.execute(() -> watch.move(c.discovery()));
+  }
+
+  /** Does the same; a configuration that can't be used is logged. */
   public void reload(byte[] config) {
     try {
-      PlatformConfig c = PlatformConfig.parse(config);
-      loop.execute(() -> watch.move(c.discovery()));
+      follow(config);
     } catch (Bad e) {
       LOG.atError().addKeyValue("why", e.getMessage()).log("the new configuration can't be used; the old one stays in force");
     }
