Red test: a repeat has no margin in its window for a process that is held up

Lines at fault: Gateway.mayBegin compares the present time with the window's end; a process held up for 0.15 s between the check and the write sends after it.

--- a/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
+++ b/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
@@ -464,4 +464,20 @@
     turn(Duration.ofMillis(900));
     assertTrue(servers.frees.contains("r"), "held for a read that nobody has got");
   }
+
+  /** A process may be held up for 0.15 s between the check and the write: a repeat has to leave so much of its window. */
+  @Test
+  void aRepeatLeavesRoomInItsWindowForAProcessThatIsHeldUp() throws Exception {
+    start("idempotency_key");
+    ask();
+    servers.reads.get(0).read("", 0, 0);
+    turn(TURN);
+    Duration sent = loop.now();
+    servers.writes.get(0).failed(new Verdict(Verdict.Kind.BROKEN, 0, new byte[0], "broken"));
+    turn(TURN);
+    Servers.Sending again = servers.writes.size() > 1 ? servers.writes.get(1) : servers.reads.get(1);
+    assertTrue(again.wanted());
+    turn(sent.plus(Duration.ofMillis(200)).minus(loop.now()));
+    assertFalse(again.wanted(), "held up for 0.15 s it would come after the window of 0.3 s");
+  }
 }
