--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -39,6 +39,7 @@
 public final class Gateway {
   private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
   private static final Logger REQS = LoggerFactory.getLogger("gapproxy.req");
+  private static final Duration HELD_UP = Duration.ofMillis(150); // a process may be, between a check and the write
   private static final int ROUNDS = 1000;                     // of decisions in one turn of the loop
 
   private final Terms terms;
@@ -444,7 +445,7 @@
    * server drains or is replaced, the time in which repeats are dropped runs out.
    */
   private boolean mayBegin(Req.Forward f) {
-    return f.out() && !f.req.answered && fleet.takes(f.at) && (f.latest == null || loop.now().compareTo(f.latest) < 0);
+    return f.out() && !f.req.answered && fleet.takes(f.at) && (f.latest == null || loop.now().plus(HELD_UP).compareTo(f.latest) < 0);
   }
 
   /** The stream of one forward. */
