--- a/src/main/java/gapproxy/cli/Main.java
+++ b/src/main/java/gapproxy/cli/Main.java
@@ -11,7 +11,7 @@
     scope = ScopeType.INHERIT, sortOptions = false, usageHelpAutoWidth = true,
     description = "Routes language-model serving with separate readers and writers.",
     footer = {"", "Exit codes: 0 done; 1 it failed, and one line on standard error says why; 2 wrong command line."},
-    subcommands = {Serve.class, NodeCommand.class, DemoCommand.class, StandinCommand.class, DayCommand.class, OverheadCommand.class, SimCommand.class, ConfigCommand.class, Bench.class,
+    subcommands = {Serve.class, NodeCommand.class, DemoCommand.class, StandinCommand.class, DayCommand.class, SoakCommand.class, OverheadCommand.class, SimCommand.class, ConfigCommand.class, Bench.class,
         AutoComplete.GenerateCompletion.class})
 public final class Main implements Runnable {
   @CommandLine.Spec
--- /dev/null
+++ b/src/main/java/gapproxy/cli/SoakCommand.java
@@ -0,0 +1,65 @@
+package gapproxy.cli;
+
+import gapproxy.config.Config;
+import gapproxy.daemon.Logs;
+import gapproxy.soak.Soak;
+import gapproxy.soak.SoakPlan;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(name = "soak", description = {"Gateways as real processes on loopback under troubles that overlap, drawn from a seed, judged by the traffic.",
+    "Exit code 0 only where nothing was found."})
+final class SoakCommand implements Callable<Integer> {
+  @Option(names = "--seed", defaultValue = "1", description = "Of the first plan (default: ${DEFAULT-VALUE}).")
+  private long seed;
+  @Option(names = "--runs", defaultValue = "1", description = "Plans, each of the next seed (default: ${DEFAULT-VALUE}).")
+  private int runs;
+  @Option(names = "--gateways", defaultValue = "24", description = "Processes (default: ${DEFAULT-VALUE}).")
+  private int gateways;
+  @Option(names = "--seconds", defaultValue = "60", description = "In which clients ask (default: ${DEFAULT-VALUE}).")
+  private int seconds;
+  @Option(names = "--only", split = ",", paramLabel = "N", description = "Plays these troubles of the plan alone, by their numbers.")
+  private Set<Integer> only = Set.of();
+  @Option(names = "--plan", description = "Prints the plan and plays nothing.")
+  private boolean plan;
+  @Option(names = "--logs", paramLabel = "DIR", description = "Where gateways' logs and settings are left.")
+  private Path logs;
+
+  @Override
+  public Integer call() throws IOException, InterruptedException {
+    Logs.use(new Config.Log("text", "error"));
+    Set<String> pairs = new TreeSet<>();
+    int bad = 0;
+    for (int i = 0; i < runs; i++) {
+      SoakPlan p = SoakPlan.draw(seed + i, gateways, Duration.ofSeconds(seconds));
+      p = only.isEmpty() ? p : p.only(only);
+      System.out.print(p.text());
+      pairs.addAll(p.pairs());
+      if (!plan) {
+        bad += play(p) ? 0 : 1;
+      }
+    }
+    System.out.printf("%d runs, %d with finds, %d pairs of troubles%n", plan ? 0 : runs, bad, pairs.size());
+    return bad == 0 ? 0 : 1;
+  }
+
+  private boolean play(SoakPlan p) throws IOException, InterruptedException {
+    Path dir = logs == null ? Files.createTempDirectory("gapproxy-soak") : Files.createDirectories(logs.resolve("seed-" + p.seed()));
+    try (Soak soak = new Soak(p, dir)) {
+      Soak.Result r = soak.play();
+      System.out.printf("seed %d: %s; asked %d %s; streams %d, late %d, late under trouble %d; longest held %d ms; injected %d; harness late by up to %d ms%n",
+          p.seed(), r.good() ? "nothing found" : "FOUND", r.asked(), r.ends(), r.verdict().streams(), r.verdict().late(), r.verdict().excused(),
+          r.verdict().report().longestHeldMs(), r.injected(), r.latenessMs());
+      r.broken().forEach(b -> System.out.println("  by the traffic: " + b));
+      r.counted().stream().limit(20).forEach(c -> System.out.println("  by a gateway:   " + c));
+      return r.good();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/soak/FaultProxy.java
@@ -0,0 +1,323 @@
+package gapproxy.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** A TCP proxy on one thread, with a port for each hop and troubles that are switched on for hops. */
+final class FaultProxy implements AutoCloseable {
+  /** What a hop does to what passes it. */
+  enum Mode {
+    PASS,
+    /** Bytes wait for a while. */
+    LATE,
+    /** Bytes are taken by nobody, and nothing is said. When it ends, connections are reset. */
+    SILENT,
+    /** Connections are reset, new ones as well. */
+    RESET,
+    /** The answering side of open connections is ended, the asking side stays. */
+    HALF_CLOSE,
+    /** Bytes come one by one. */
+    TRICKLE,
+    /** A connection is reset right behind the last byte of a request. */
+    CUT_AFTER_REQUEST,
+    /** Half a line comes on connections at rest, and then their end. */
+    JUNK_AT_REST
+  }
+
+  private static final int BUFFER = 16 << 10;
+  private static final long LATE_NANOS = 120_000_000L;
+  private static final long LOOK_MILLIS = 5;
+  private static final long CUT_NANOS = 2_000_000L;           // behind the last byte of a request
+  private static final long AT_REST_NANOS = 50_000_000L;
+
+  private final Selector selector = Selector.open();
+  private final Set<Hop> hops = ConcurrentHashMap.newKeySet();
+  private final Thread thread = new Thread(this::run, "proxy");
+  private final AtomicLong injected = new AtomicLong();
+  private volatile boolean closing;
+
+  FaultProxy() throws IOException {
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** One port, and where it leads. */
+  final class Hop {
+    private final ServerSocketChannel port;
+    private final InetSocketAddress target;
+    private final List<Link> links = new ArrayList<>();
+    private volatile Mode mode = Mode.PASS;
+    private Mode applied = Mode.PASS;
+
+    private Hop(InetSocketAddress target) throws IOException {
+      this.target = target;
+      port = ServerSocketChannel.open();
+      port.bind(new InetSocketAddress("127.0.0.1", 0), 512);
+      port.configureBlocking(false);
+    }
+
+    int port() {
+      return port.socket().getLocalPort();
+    }
+
+    void mode(Mode to) {
+      mode = to;
+      selector.wakeup();
+    }
+  }
+
+  /** Opens a port that leads to an address. */
+  Hop hop(InetSocketAddress target) throws IOException {
+    Hop h = new Hop(target);
+    hops.add(h);
+    selector.wakeup();
+    return h;
+  }
+
+  /** Bytes and connections that troubles have touched. */
+  long injected() {
+    return injected.get();
+  }
+
+  private record Piece(ByteBuffer bytes, long due) {}
+
+  /** One direction of a connection. */
+  private final class Way {
+    final SocketChannel from;
+    final SocketChannel to;
+    final Deque<Piece> pieces = new ArrayDeque<>();
+    boolean ended, passed;
+    long bytes;                                               // passed on so far
+
+    Way(SocketChannel from, SocketChannel to) {
+      this.from = from;
+      this.to = to;
+    }
+  }
+
+  private final class Link {
+    final Hop hop;
+    final SocketChannel client, server;
+    final Way up, down;
+    long moved = System.nanoTime();
+    long answeredAt;                                          // bytes asked when the last answer came
+
+    Link(Hop hop, SocketChannel client) throws IOException {
+      this.hop = hop;
+      this.client = client;
+      server = SocketChannel.open();
+      for (SocketChannel c : List.of(client, server)) {
+        c.configureBlocking(false);
+        c.setOption(StandardSocketOptions.TCP_NODELAY, true);
+      }
+      server.connect(hop.target);
+      up = new Way(client, server);
+      down = new Way(server, client);
+      client.register(selector, SelectionKey.OP_READ, this);
+      server.register(selector, SelectionKey.OP_CONNECT | SelectionKey.OP_READ, this);
+    }
+
+    void reset() {
+      for (SocketChannel c : List.of(client, server)) {
+        try {
+          c.setOption(StandardSocketOptions.SO_LINGER, 0);
+          c.close();
+        } catch (IOException e) {
+          continue;                                           // it is gone already
+        }
+      }
+      hop.links.remove(this);
+    }
+  }
+
+  private void run() {
+    while (!closing) {
+      try {
+        selector.select(LOOK_MILLIS);
+        for (Hop h : hops) {
+          if (h.port.keyFor(selector) == null) {
+            h.port.register(selector, SelectionKey.OP_ACCEPT, h);
+          }
+          apply(h);
+        }
+        for (SelectionKey key : selector.selectedKeys()) {
+          handle(key);
+        }
+        selector.selectedKeys().clear();
+        hops.forEach(h -> List.copyOf(h.links).forEach(this::move));
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+  }
+
+  /** What a change of mode does to the connections that are open, and what a mode does to those at rest. */
+  private void apply(Hop h) throws IOException {
+    Mode now = h.mode;
+    if (now != h.applied) {
+      Mode before = h.applied;
+      h.applied = now;
+      if (now == Mode.RESET || before == Mode.SILENT) {
+        injected.addAndGet(h.links.size());
+        List.copyOf(h.links).forEach(Link::reset);
+      } else if (now == Mode.HALF_CLOSE) {
+        injected.addAndGet(h.links.size());
+        for (Link l : List.copyOf(h.links)) {
+          shutOutput(l, l.down);
+        }
+      }
+    }
+    if (now == Mode.JUNK_AT_REST) {
+      for (Link l : List.copyOf(h.links)) {
+        if (System.nanoTime() - l.moved > AT_REST_NANOS && l.down.pieces.isEmpty()) {
+          injected.incrementAndGet();
+          l.moved = Long.MAX_VALUE / 2;
+          write(l, l.down, ByteBuffer.wrap("HTTP/1.1 20".getBytes(StandardCharsets.US_ASCII)));
+          shutOutput(l, l.down);
+        }
+      }
+    }
+  }
+
+  private void handle(SelectionKey key) throws IOException {
+    if (key.attachment() instanceof Hop h) {
+      SocketChannel c = h.port.accept();
+      if (c != null && h.mode == Mode.RESET) {
+        injected.incrementAndGet();
+        c.setOption(StandardSocketOptions.SO_LINGER, 0);
+        c.close();
+      } else if (c != null) {
+        h.links.add(new Link(h, c));
+      }
+      return;
+    }
+    Link l = (Link) key.attachment();
+    try {
+      if (key.isValid() && key.isConnectable() && l.server.finishConnect()) {
+        key.interestOps(SelectionKey.OP_READ);
+      }
+      if (key.isValid() && key.isReadable()) {
+        if (l.hop.mode == Mode.SILENT) {
+          injected.incrementAndGet();
+          key.interestOps(0);                                 // what comes stays where it is
+        } else {
+          read(l, key.channel() == l.client ? l.up : l.down);
+        }
+      }
+    } catch (IOException e) {
+      l.reset();                                              // one end has gone
+    }
+  }
+
+  private void read(Link l, Way w) throws IOException {
+    ByteBuffer b = ByteBuffer.allocate(BUFFER);
+    int n = w.from.read(b);
+    if (n < 0) {
+      w.ended = true;
+      SelectionKey k = w.from.keyFor(selector);
+      if (k != null) {
+        k.interestOps(k.interestOps() & ~SelectionKey.OP_READ);
+      }
+      return;
+    }
+    l.moved = System.nanoTime();
+    w.bytes += n;
+    if (w == l.down) {
+      l.answeredAt = l.up.bytes;
+    }
+    long due = l.hop.mode == Mode.LATE ? System.nanoTime() + LATE_NANOS : 0;
+    if (due > 0) {
+      injected.addAndGet(n);
+    }
+    w.pieces.add(new Piece(b.flip(), due));
+  }
+
+  /** Writes what is due, and ends what has ended. */
+  private void move(Link l) {
+    if (l.hop.mode == Mode.SILENT || !l.server.isConnected()) {
+      return;
+    }
+    try {
+      for (Way w : List.of(l.up, l.down)) {
+        while (!w.pieces.isEmpty() && w.pieces.peek().due <= System.nanoTime()) {
+          if (!write(l, w, w.pieces.peek().bytes)) {
+            break;
+          }
+          w.pieces.poll();
+        }
+        if (w.ended && w.pieces.isEmpty() && !w.passed) {
+          shutOutput(l, w);
+        }
+      }
+      boolean cut = l.hop.mode == Mode.CUT_AFTER_REQUEST && l.up.pieces.isEmpty() && l.down.pieces.isEmpty()
+          && l.up.bytes > l.answeredAt && System.nanoTime() - l.moved > CUT_NANOS;
+      if (cut) {
+        injected.incrementAndGet();
+        l.reset();
+      } else if (l.up.passed && l.down.passed) {
+        l.client.close();
+        l.server.close();
+        l.hop.links.remove(l);
+      }
+    } catch (IOException e) {
+      l.reset();
+    }
+  }
+
+  private boolean write(Link l, Way w, ByteBuffer b) throws IOException {
+    if (l.hop.mode == Mode.TRICKLE) {
+      injected.addAndGet(b.remaining());
+      while (b.hasRemaining()) {
+        ByteBuffer one = b.slice(b.position(), 1);
+        if (w.to.write(one) == 0) {
+          return false;
+        }
+        b.position(b.position() + 1);
+      }
+      return true;
+    }
+    w.to.write(b);
+    return !b.hasRemaining();
+  }
+
+  private void shutOutput(Link l, Way w) throws IOException {
+    w.passed = true;
+    try {
+      w.to.shutdownOutput();
+    } catch (ClosedChannelException | java.nio.channels.NotYetConnectedException e) {
+      l.reset();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    closing = true;
+    selector.wakeup();
+    try {
+      thread.join(1000);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    for (Hop h : hops) {
+      h.port.close();
+      List.copyOf(h.links).forEach(Link::reset);
+    }
+    selector.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/soak/GatewayProcess.java
@@ -0,0 +1,125 @@
+package gapproxy.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/** One gateway as a process of its own, started as the deploy file does but for the archive of classes. */
+final class GatewayProcess {
+  private static final List<String> FLAGS = List.of("-XX:-UsePerfData", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss256k",
+      "-Xms32m", "-Xmx64m");
+  private static final long READY_WITHIN_MS = 10_000, LOOK_MS = 20;
+
+  final String name;
+  final int port;
+  private final Path dir;
+  private final List<String> environment;
+  private Process process;
+  private int starts;
+
+  /** What a process holds. */
+  record Held(long descriptors, long threads, long residentKb) {}
+
+  /** @param environment of the process, as NAME=VALUE */
+  GatewayProcess(String name, Path dir, List<String> environment) throws IOException {
+    this.name = name;
+    this.dir = dir;
+    this.environment = environment;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      port = free.getLocalPort();
+    }
+  }
+
+  Path config() {
+    return dir.resolve(name + ".json");
+  }
+
+  Path log() {
+    return dir.resolve(name + ".log");
+  }
+
+  void configure(String text) throws IOException {
+    Files.writeString(config(), text);
+  }
+
+  void start() throws IOException {
+    starts++;
+    List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+    command.addAll(FLAGS);
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), "gapproxy.cli.Main", "node"));
+    ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
+    b.environment().put("LB_CONFIG", config().toString());
+    environment.forEach(e -> b.environment().put(e.substring(0, e.indexOf('=')), e.substring(e.indexOf('=') + 1)));
+    process = b.start();
+  }
+
+  /** Whether it says that it is ready, within the time that a start may take. */
+  boolean awaitReady() throws InterruptedException {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_WITHIN_MS);
+    while (System.nanoTime() < until && process.isAlive()) {
+      if (ready()) {
+        return true;
+      }
+      Thread.sleep(LOOK_MS);
+    }
+    return false;
+  }
+
+  private boolean ready() {
+    try (Socket s = new Socket()) {
+      s.connect(new InetSocketAddress("127.0.0.1", port), 200);
+      s.setSoTimeout(1000);
+      s.getOutputStream().write("GET /up HTTP/1.1\r\nHost: soak\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+      return new String(s.getInputStream().readNBytes(12), StandardCharsets.US_ASCII).endsWith("200");
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  void signal(String signal) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+  }
+
+  boolean alive() {
+    return process.isAlive();
+  }
+
+  int starts() {
+    return starts;
+  }
+
+  /** Whether it ended by itself within a time, and how; null if it did not. */
+  Integer awaitEnd(long millis) throws InterruptedException {
+    return process.waitFor(millis, TimeUnit.MILLISECONDS) ? process.exitValue() : null;
+  }
+
+  void kill() {
+    process.destroyForcibly();
+    try {
+      process.waitFor(5, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  Held held() throws IOException {
+    Path of = Path.of("/proc", Long.toString(process.pid()));
+    try (Stream<Path> descriptors = Files.list(of.resolve("fd"))) {
+      return new Held(descriptors.count(), status(of, "Threads:"), status(of, "VmRSS:"));
+    }
+  }
+
+  private static long status(Path of, String key) throws IOException {
+    return Files.readAllLines(of.resolve("status")).stream().filter(l -> l.startsWith(key))
+        .mapToLong(l -> Long.parseLong(l.substring(key.length()).replace("kB", "").strip())).findFirst().orElse(0);
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/soak/Soak.java
@@ -0,0 +1,478 @@
+package gapproxy.soak;
+
+import gapproxy.audit.Audit;
+import gapproxy.http.HttpClient;
+import gapproxy.runtime.LiveLoop;
+import gapproxy.runtime.LiveNet;
+import gapproxy.soak.FaultProxy.Hop;
+import gapproxy.soak.FaultProxy.Mode;
+import gapproxy.soak.SoakPlan.Kind;
+import gapproxy.soak.SoakPlan.Trouble;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.stream.Stream;
+
+/** Plays one plan. */
+public final class Soak implements AutoCloseable {
+  private static final Duration SLACK = Duration.ofMillis(400), DRAIN_GRACE = Duration.ofSeconds(2);
+  private static final Duration NEWS = Duration.ofSeconds(6), AFTER_RELOAD = Duration.ofSeconds(4), OLD_DISCOVERY = Duration.ofMillis(1500);
+  private static final Duration FRONT_NOTICES = Duration.ofMillis(300), AFTERMATH = Duration.ofSeconds(1);
+  private static final Duration KILLED_AFTER = SoakClients.LONGEST.plusMillis(700 + 2000);
+  private static final Duration TOLD_AT_START = Duration.ofSeconds(1);
+  private static final long BAD_CLIENT_MS = 3000, HELD_UP_MS = 150, HELD_UP_EVERY_MS = 400;
+  private static final int DESCRIPTORS_MORE = 60, THREADS_MORE = 10;
+  private static final double RATE_PER_GATEWAY = 3;
+
+  /**
+   * What a run showed.
+   *
+   * @param broken all that was found, by the traffic
+   * @param counted rules that gateways themselves say were broken, one log line each
+   * @param injected bytes and connections that troubles touched
+   * @param latenessMs the harness' own worst lateness
+   */
+  public record Result(SoakPlan plan, SoakVerdict verdict, List<String> broken, List<String> counted, long asked, String ends,
+      long injected, long latenessMs) {
+    /** Whether nothing was found and the troubles had an effect. */
+    public boolean good() {
+      return broken.isEmpty() && counted.isEmpty() && asked > 0 && (injected > 0 || plan.troubles().isEmpty());
+    }
+  }
+
+  private final SoakPlan plan;
+  private final Path dir;
+  private final LiveLoop loop = new LiveLoop("soak");
+  private final LiveNet net = new LiveNet("soak-net", 2);
+  private final FaultProxy proxy = new FaultProxy();
+  private final ExecutorService hands = Executors.newCachedThreadPool();
+  private final SplittableRandom chance;
+  private final List<GatewayProcess> gateways = new ArrayList<>();
+  private final List<SoakClients.Front> fronts = new ArrayList<>();
+  private final Hop[][] toServer;
+  private final Hop[][] toDiscovery;
+  private final int[] discoveryInUse;
+  private final Hop[] toGateway;
+  private final Duration[][] serverTrouble;                   // until when a hop is in trouble or was a moment ago
+  private final Duration[] discoveryTrouble, gatewayTrouble;
+  private final List<GatewayProcess.Held> before = new ArrayList<>();
+  private SoakJudge judge;
+  private SoakSite site;
+  private SoakClients clients;
+
+  /** @param dir for configurations and logs */
+  public Soak(SoakPlan plan, Path dir) throws IOException {
+    this.plan = plan;
+    this.dir = dir;
+    int servers = plan.readers() + plan.writers();
+    chance = new SplittableRandom(plan.seed() + 3);
+    toServer = new Hop[plan.gateways()][servers];
+    toDiscovery = new Hop[plan.gateways()][2];
+    discoveryInUse = new int[plan.gateways()];
+    toGateway = new Hop[plan.gateways()];
+    serverTrouble = new Duration[plan.gateways()][servers];
+    discoveryTrouble = new Duration[plan.gateways()];
+    gatewayTrouble = new Duration[plan.gateways()];
+  }
+
+  /** Plays it. */
+  public Result play() throws IOException, InterruptedException {
+    judge = new SoakJudge(new Audit.Figures(DRAIN_GRACE, plan.settings().release(), plan.settings().window(), SLACK));
+    onLoop(this::build);
+    startAll();
+    onLoop(() -> {
+      for (Trouble t : plan.troubles()) {
+        loop.after(t.at(), () -> begin(t));
+      }
+      clients.begin();
+    });
+    sleep(plan.length());
+    onLoop(clients::end);
+    sleep(KILLED_AFTER);
+    List<String> resources = resources();
+    stopAll();
+    SoakVerdict[] verdict = new SoakVerdict[1];
+    long[] lateness = new long[1];
+    onLoop(() -> {
+      verdict[0] = judge.verdict(loop.now());
+      lateness[0] = loop.timerDelays().getMaxValue() / 1000;
+    });
+    List<String> broken = new ArrayList<>(verdict[0].broken());
+    broken.addAll(resources);
+    return new Result(plan, verdict[0], broken, counted(), clients.asked(), clients.ends().toString(), proxy.injected(), lateness[0]);
+  }
+
+  private interface Work {
+    void run() throws IOException;
+  }
+
+  private void onLoop(Work work) throws IOException {
+    IOException[] failed = new IOException[1];
+    loop.call(() -> {
+      try {
+        work.run();
+      } catch (IOException e) {
+        failed[0] = e;
+      }
+    });
+    if (failed[0] != null) {
+      throw failed[0];
+    }
+  }
+
+  private static void sleep(Duration span) throws InterruptedException {
+    Thread.sleep(span.toMillis());
+  }
+
+  private void build() throws IOException {
+    double rate = RATE_PER_GATEWAY * plan.gateways();
+    site = new SoakSite(loop, net, plan, judge, (g, s) -> recent(serverTrouble[g][s]) || recent(gatewayTrouble[g]), id -> clients.seen(id),
+        rate / plan.readers());
+    for (int g = 0; g < plan.gateways(); g++) {
+      gateways.add(new GatewayProcess(SoakSite.gatewayName(g), dir, List.of()));
+      for (SoakSite.Model m : site.models) {
+        toServer[g][m.number] = proxy.hop(m.address(g));
+        m.dial[g] = toServer[g][m.number].port();
+      }
+      for (int i = 0; i < 2; i++) {
+        toDiscovery[g][i] = proxy.hop(site.discovery(g));
+      }
+      toGateway[g] = proxy.hop(new InetSocketAddress("127.0.0.1", gateways.get(g).port));
+      fronts.add(new SoakClients.Front(g, new InetSocketAddress("127.0.0.1", toGateway[g].port())));
+      gateways.get(g).configure(config(g));
+    }
+    HttpClient kept = new HttpClient(loop, net, Duration.ofSeconds(10));
+    HttpClient fresh = new HttpClient(loop, net, Duration.ofMillis(1));
+    clients = new SoakClients(loop, kept, fresh, judge, fronts, plan.seed(), rate, g -> recent(gatewayTrouble[g])
+        || Stream.of(serverTrouble[g]).anyMatch(this::recent));
+  }
+
+  private boolean recent(Duration until) {
+    return until != null && loop.now().compareTo(until.plus(AFTERMATH)) < 0;
+  }
+
+  private String config(int g) {
+    SoakPlan.Settings s = plan.settings();
+    return """
+        {"name":"%s","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"%x","limits":{"cores":1.0,"memory_mb":192,"sockets":512},
+         "known":%s,
+         "settings":{"balancers":%d,"tickUs":4000,"locality":%d,"localities":["a","b"],"kinds":["reading","writing"],
+          "classes":[{"name":"talk","repeat":"read_like","sloUs":1500000,"giveUpUs":4000000,"worth":1.0,"stream":true},
+           {"name":"note","repeat":"idempotency_key","group":"all","windowUs":%d,"sloUs":1500000,"giveUpUs":4000000,"worth":1.0,"stream":true},
+           {"name":"pay","repeat":"non_idempotent","sloUs":1500000,"giveUpUs":4000000,"worth":2.0,"stream":true}],
+          "projects":[{"name":"town","quotaRps":1000.0}],"overShareWorth":0.2,"registryMode":"pushed",
+          "familyInfo":{"ahead":true,"localRead":true,"releaseWithinUs":%d,"roleByKind":["read","write"],"memoryTokens":[200000,200000],
+           "reportX0":"share of memory that is held","reportX1":"thousands of prompt tokens waiting to be read or fetched"},
+          "guarantees":{"drainGraceUs":%d,"startCapacity":%s,"warmUpUs":%d,"tipMultiple":%s,"fallUs":%d},
+          "policyLimits":{"connIdleUs":%d,"connectTimeoutUs":250000,"maxAttempts":4,"mayCancel":true,"mayDuplicate":%b,"mayProbe":%b,
+           "retryAfter":false},
+          "stats":{"source":"%s","columns":["outstanding","backlog","x0","x1"]}}}
+        """.formatted(SoakSite.gatewayName(g), gateways.get(g).port, toDiscovery[g][discoveryInUse[g]].port(), plan.seed() * 131 + g,
+        site.hosts(g), plan.gateways(), g % 2, micros(s.window()), micros(s.release()), micros(DRAIN_GRACE), SoakSite.START_CAPACITY,
+        micros(SoakSite.WARM_UP), SoakSite.TIP_MULTIPLE, micros(SoakSite.FALL), micros(s.idle()), s.copies(), s.probes(),
+        s.probes() ? "pull" : "silent");
+  }
+
+  private static long micros(Duration d) {
+    return d.toNanos() / 1000;
+  }
+
+  private void startAll() throws IOException, InterruptedException {
+    for (GatewayProcess p : gateways) {
+      p.start();
+    }
+    for (int g = 0; g < gateways.size(); g++) {
+      if (!gateways.get(g).awaitReady()) {
+        throw new IOException(gateways.get(g).name + " did not become ready, see " + gateways.get(g).log());
+      }
+      int gateway = g;
+      onLoop(() -> up(gateway));
+    }
+    for (GatewayProcess p : gateways) {
+      before.add(p.held());
+    }
+  }
+
+  private void up(int g) {
+    judge.audit.gateway(loop.now(), SoakSite.gatewayName(g), true);
+    fronts.get(g).open = true;
+    fronts.get(g).life++;
+    loop.after(TOLD_AT_START, () -> site.models.forEach(m -> toldNow(g, m)));
+  }
+
+  private void down(int g) {
+    fronts.get(g).open = false;
+    fronts.get(g).life++;
+    judge.audit.gateway(loop.now(), SoakSite.gatewayName(g), false);
+  }
+
+  private void toldNow(int g, SoakSite.Model m) {
+    judge.audit.told(loop.now(), SoakSite.gatewayName(g), m.number, m.health.equals("up"), m.born);
+  }
+
+  // ---- troubles
+
+  private void begin(Trouble t) {
+    if (t.kind().ofGateways()) {
+      gatewayTrouble(t);
+    } else if (t.kind() == Kind.SERVERS_DRAIN || t.kind() == Kind.SERVERS_RESTART) {
+      serverChange(t);
+    } else if (t.kind().ofServers()) {
+      hopsToServers(t, Mode.valueOf(t.kind().name().substring("SERVERS_".length())));
+    } else if (t.kind().name().startsWith("DISCOVERY_")) {
+      hopsToDiscovery(t, Mode.valueOf(t.kind().name().substring("DISCOVERY_".length())));
+    } else {
+      clientTrouble(t);
+    }
+  }
+
+  /** The first of each role is spared, so that there is always a server that can be reached. */
+  private List<SoakSite.Model> some(double share) {
+    return site.models.stream().filter(m -> m.number != 0 && m.number != plan.readers() && chance.nextDouble() < share).toList();
+  }
+
+  private void hopsToServers(Trouble t, Mode mode) {
+    Duration until = loop.now().plus(t.span());
+    for (SoakSite.Model m : some(t.share())) {
+      for (int g = 0; g < plan.gateways(); g++) {
+        during(toServer[g][m.number], mode, t.span());
+        serverTrouble[g][m.number] = later(serverTrouble[g][m.number], until);
+      }
+    }
+  }
+
+  private void hopsToDiscovery(Trouble t, Mode mode) {
+    for (int g = 0; g < plan.gateways(); g++) {
+      if (chance.nextDouble() < t.share()) {
+        during(toDiscovery[g][discoveryInUse[g]], mode, t.span());
+        discoveryTrouble[g] = later(discoveryTrouble[g], loop.now().plus(t.span()));
+      }
+    }
+  }
+
+  private static Duration later(Duration a, Duration b) {
+    return a != null && a.compareTo(b) > 0 ? a : b;
+  }
+
+  private void during(Hop hop, Mode mode, Duration span) {
+    hop.mode(mode);
+    loop.after(span, () -> hop.mode(Mode.PASS));
+  }
+
+  private void serverChange(Trouble t) {
+    List<SoakSite.Model> some = some(t.share() / 2);
+    for (SoakSite.Model m : some) {
+      if (t.kind() == Kind.SERVERS_RESTART) {
+        m.restart();
+        for (int g = 0; g < plan.gateways(); g++) {
+          during(toServer[g][m.number], Mode.RESET, Duration.ofMillis(200));
+          serverTrouble[g][m.number] = later(serverTrouble[g][m.number], loop.now().plusMillis(200));
+        }
+      } else {
+        m.health = "draining";
+        loop.after(t.span().plusSeconds(3), () -> {
+          m.health = "up";
+          tell(m);
+        });
+      }
+      tell(m);
+    }
+  }
+
+  private void tell(SoakSite.Model m) {
+    site.tell(m);
+    for (int g = 0; g < plan.gateways(); g++) {
+      int gateway = g;
+      boolean held = discoveryTrouble[g] != null && loop.now().compareTo(discoveryTrouble[g].plus(NEWS)) < 0;
+      loop.after(held ? NEWS : Duration.ZERO, () -> toldNow(gateway, m));
+    }
+  }
+
+  private void gatewayTrouble(Trouble t) {
+    for (int g = 0; g < plan.gateways(); g++) {
+      int gateway = g;
+      if (fronts.get(g).open && chance.nextDouble() < t.share() / 2) {
+        Duration after = Duration.ofMillis(chance.nextInt(300));
+        loop.after(after, () -> hands.execute(() -> safely(gateway, t)));
+      }
+    }
+  }
+
+  private void safely(int g, Trouble t) {
+    try {
+      switch (t.kind()) {
+        case GATEWAY_TERM -> restart(g, true);
+        case GATEWAY_KILL -> restart(g, false);
+        case GATEWAY_RELOAD -> reload(g);
+        default -> heldUp(g, t.span());
+      }
+    } catch (IOException e) {
+      loop.execute(() -> judge.broken(loop.now(), SoakSite.gatewayName(g) + ": " + e.getMessage()));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void restart(int g, boolean well) throws IOException, InterruptedException {
+    GatewayProcess p = gateways.get(g);
+    if (well) {
+      p.signal("TERM");
+      loop.execute(() -> loop.after(FRONT_NOTICES, () -> fronts.get(g).open = false));
+      Integer end = p.awaitEnd(KILLED_AFTER.toMillis());
+      if (end == null || end != 0) {
+        loop.execute(() -> judge.broken(loop.now(), p.name + (end == null ? " did not end after SIGTERM" : " ended with " + end)));
+      }
+    }
+    p.kill();
+    onLoop(() -> down(g));
+    p.start();
+    if (p.awaitReady()) {
+      onLoop(() -> up(g));
+    } else {
+      loop.execute(() -> judge.broken(loop.now(), p.name + " was not ready in time after its start"));
+    }
+  }
+
+  /** Moves discovery to its other address, at times twice in a row; the old one closes a while later. */
+  private void reload(int g) throws IOException, InterruptedException {
+    GatewayProcess p = gateways.get(g);
+    int times = 1 + (g + (int) plan.seed()) % 2;
+    for (int i = 0; i < times; i++) {
+      Hop[] old = new Hop[1];
+      onLoop(() -> {
+        old[0] = toDiscovery[g][discoveryInUse[g]];
+        discoveryInUse[g] = 1 - discoveryInUse[g];
+        toDiscovery[g][discoveryInUse[g]].mode(Mode.PASS);
+        discoveryTrouble[g] = later(discoveryTrouble[g], loop.now().plus(AFTER_RELOAD).minus(NEWS));
+        p.configure(config(g));
+      });
+      p.signal("HUP");
+      if (i == times - 1) {
+        loop.execute(() -> loop.after(OLD_DISCOVERY, () -> old[0].mode(Mode.RESET)));
+      }
+    }
+  }
+
+  private void heldUp(int g, Duration span) throws IOException, InterruptedException {
+    GatewayProcess p = gateways.get(g);
+    loop.execute(() -> {
+      gatewayTrouble[g] = later(gatewayTrouble[g], loop.now().plus(span));
+      judge.audit.excuse(SoakSite.gatewayName(g), Duration.ofMillis(HELD_UP_MS));
+    });
+    long until = System.nanoTime() + span.toNanos();
+    while (System.nanoTime() < until && p.alive()) {
+      p.signal("STOP");
+      try {
+        Thread.sleep(HELD_UP_MS - 50);                        // the signals take their time as well
+      } finally {
+        p.signal("CONT");
+      }
+      Thread.sleep(HELD_UP_EVERY_MS);
+    }
+  }
+
+  private void clientTrouble(Trouble t) {
+    switch (t.kind()) {
+      case CLIENTS_LEAVE -> {
+        clients.leave = t.share();
+        loop.after(t.span(), () -> clients.leave = 0);
+      }
+      case CLIENTS_BURST -> {
+        clients.rate *= 2.5;
+        loop.after(t.span(), () -> clients.rate /= 2.5);
+      }
+      case CLIENTS_STOP_MIDWAY -> fronts.stream().filter(f -> f.open && chance.nextDouble() < t.share())
+          .forEach(f -> hands.execute(() -> stopMidway(f)));
+      default -> {
+        for (int g = 0; g < plan.gateways(); g++) {
+          if (chance.nextDouble() < t.share()) {
+            during(toGateway[g], Mode.TRICKLE, t.span());
+            gatewayTrouble[g] = later(gatewayTrouble[g], loop.now().plus(t.span()));
+          }
+        }
+      }
+    }
+  }
+
+  /** A client that sends half a request and stays is owed an error or a close. */
+  private void stopMidway(SoakClients.Front f) {
+    int life = f.life;
+    try (Socket s = new Socket()) {
+      s.connect(f.address, 1000);
+      s.setSoTimeout((int) (BAD_CLIENT_MS + SLACK.toMillis()));
+      s.getOutputStream().write("POST /v1/chat/completions HTTP/1.1\r\nHost: soak\r\nContent-Length: 100\r\n\r\n{\"mod".getBytes(StandardCharsets.US_ASCII));
+      s.getInputStream().read();
+    } catch (SocketTimeoutException e) {
+      loop.execute(() -> {
+        if (f.life == life && f.open && !recent(gatewayTrouble[f.gateway])) {
+          judge.broken(loop.now(), SoakSite.gatewayName(f.gateway) + ": a client that stopped in its request got nothing in 3 s");
+        }
+      });
+    } catch (IOException e) {
+      return;                                                 // a reset is a close
+    }
+  }
+
+  // ---- the end
+
+  private List<String> resources() throws IOException {
+    List<String> found = new ArrayList<>();
+    for (int g = 0; g < gateways.size(); g++) {
+      GatewayProcess p = gateways.get(g);
+      if (!p.alive()) {
+        found.add(p.name + " has crashed, see its log");
+        continue;
+      }
+      GatewayProcess.Held now = p.held();
+      GatewayProcess.Held then = before.get(g);
+      if (now.descriptors() > then.descriptors() + DESCRIPTORS_MORE || now.threads() > then.threads() + THREADS_MORE) {
+        found.add(p.name + " holds " + now + " at rest, " + then + " at its start");
+      }
+    }
+    return found;
+  }
+
+  private void stopAll() throws IOException, InterruptedException {
+    for (GatewayProcess p : gateways) {
+      if (p.alive()) {
+        p.signal("TERM");
+      }
+    }
+    for (GatewayProcess p : gateways) {
+      p.awaitEnd(KILLED_AFTER.toMillis());
+      p.kill();
+    }
+  }
+
+  private List<String> counted() throws IOException {
+    List<String> lines = new ArrayList<>();
+    for (GatewayProcess p : gateways) {
+      try (Stream<String> log = Files.lines(p.log())) {
+        log.filter(l -> l.contains("rule violated") || l.contains(" ERROR ")).map(l -> p.name + " " + l).forEach(lines::add);
+      }
+    }
+    return lines;
+  }
+
+  @Override
+  public void close() throws IOException {
+    gateways.stream().filter(p -> p.starts() > 0).forEach(GatewayProcess::kill);
+    hands.shutdownNow();
+    if (site != null) {
+      loop.call(site::close);
+    }
+    loop.close();
+    net.close();
+    proxy.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/gapproxy/soak/SoakPlan.java
@@ -0,0 +1,120 @@
+package gapproxy.soak;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+
+/**
+ * What a soak plays: its settings and its troubles, all of it drawn from one seed.
+ *
+ * @param gateways processes
+ * @param readers prefill servers
+ * @param writers decode servers
+ * @param length of the time in which clients ask
+ * @param settings the axis of the settings
+ * @param troubles in the order in which they begin
+ */
+public record SoakPlan(long seed, int gateways, int readers, int writers, Duration length, Settings settings, List<Trouble> troubles) {
+  /** What may go wrong. */
+  public enum Kind {
+    GATEWAY_TERM, GATEWAY_KILL, GATEWAY_RELOAD, GATEWAY_HELD_UP, SERVERS_LATE, SERVERS_SILENT, SERVERS_RESET, SERVERS_HALF_CLOSE,
+    SERVERS_TRICKLE, SERVERS_CUT_AFTER_REQUEST, SERVERS_JUNK_AT_REST, SERVERS_DRAIN, SERVERS_RESTART, DISCOVERY_SILENT, DISCOVERY_LATE,
+    DISCOVERY_RESET, CLIENTS_LEAVE, CLIENTS_STOP_MIDWAY, CLIENTS_BURST, CLIENTS_TRICKLE;
+
+    boolean ofServers() {
+      return name().startsWith("SERVERS_");
+    }
+
+    boolean ofGateways() {
+      return name().startsWith("GATEWAY_");
+    }
+  }
+
+  /**
+   * One trouble.
+   *
+   * @param share of what it is aimed at that it meets
+   */
+  public record Trouble(Kind kind, Duration at, Duration span, double share) {
+    @Override
+    public String toString() {
+      return String.format("%6.2f s  %-26s for %5.2f s, share %.2f", at.toMillis() / 1000.0, kind, span.toMillis() / 1000.0, share);
+    }
+  }
+
+  /**
+   * The axis of the settings.
+   *
+   * @param release how long something may be held
+   * @param window of repeats of a keyed class
+   * @param probes whether model servers may be probed
+   * @param copies whether a second attempt may run beside another
+   * @param idle how long model servers keep connections at rest
+   */
+  public record Settings(Duration release, Duration window, boolean probes, boolean copies, Duration idle) {}
+
+  private static final Duration QUIET = Duration.ofSeconds(4); // first, so that all is warm and connected
+  private static final Duration LAST = Duration.ofSeconds(3); // at the end, so that what was late shows
+  private static final Duration EVERY = Duration.ofMillis(3500);
+
+  /** Draws a plan. */
+  public static SoakPlan draw(long seed, int gateways, Duration length) {
+    SplittableRandom chance = new SplittableRandom(seed);
+    Settings settings = new Settings(Duration.ofMillis(chance.nextBoolean() ? 500 : 1000), Duration.ofMillis(chance.nextBoolean() ? 600 : 1500),
+        chance.nextInt(4) > 0, chance.nextBoolean(), Duration.ofMillis(chance.nextBoolean() ? 2500 : 15000));
+    List<Trouble> troubles = new ArrayList<>();
+    List<Kind> left = new ArrayList<>();
+    for (Duration at = QUIET; at.compareTo(length.minus(LAST)) < 0; at = at.plus(EVERY)) {
+      int together = 2 + chance.nextInt(2);
+      for (int i = 0; i < together; i++) {
+        if (left.isEmpty()) {
+          left.addAll(List.of(Kind.values()));
+        }
+        Kind kind = left.remove(chance.nextInt(left.size()));
+        Duration begins = at.plusMillis(chance.nextInt(800));
+        troubles.add(new Trouble(kind, begins, Duration.ofMillis(500 + chance.nextInt(2500)), 0.15 + 0.5 * chance.nextDouble()));
+      }
+    }
+    troubles.sort(Comparator.comparing(Trouble::at));
+    return new SoakPlan(seed, gateways, 6, 6, length, settings, List.copyOf(troubles));
+  }
+
+  /** The pairs of troubles that overlap. */
+  public Set<String> pairs() {
+    Set<String> pairs = new TreeSet<>();
+    for (Trouble a : troubles) {
+      for (Trouble b : troubles) {
+        boolean overlap = a.at().compareTo(b.at().plus(b.span())) < 0 && b.at().compareTo(a.at().plus(a.span())) < 0;
+        if (overlap && a.kind().compareTo(b.kind()) < 0) {
+          pairs.add(a.kind() + "+" + b.kind());
+        }
+      }
+    }
+    return pairs;
+  }
+
+  /** Only some of its troubles, for a search of those that matter. */
+  public SoakPlan only(Set<Integer> numbers) {
+    List<Trouble> some = new ArrayList<>();
+    for (int i = 0; i < troubles.size(); i++) {
+      if (numbers.contains(i)) {
+        some.add(troubles.get(i));
+      }
+    }
+    return new SoakPlan(seed, gateways, readers, writers, length, settings, List.copyOf(some));
+  }
+
+  /** The plan as a person reads it. */
+  public String text() {
+    StringBuilder b = new StringBuilder("seed " + seed + ", " + gateways + " gateways, " + readers + " prefill and " + writers
+        + " decode servers, " + length.toSeconds() + " s, " + settings + "\n");
+    for (int i = 0; i < troubles.size(); i++) {
+      b.append(String.format("%3d  %s%n", i, troubles.get(i)));
+    }
+    return b.toString();
+  }
+}
--- a/src/test/java/gapproxy/ArchitectureTest.java
+++ b/src/test/java/gapproxy/ArchitectureTest.java
@@ -20,25 +20,26 @@
       .layer("wires").definedBy("gapproxy.openai..", "gapproxy.engine..", "gapproxy.list..")
       .layer("gateway").definedBy("gapproxy.gateway..").layer("platform").definedBy("gapproxy.platform..").layer("audit").definedBy("gapproxy.audit..")
       .layer("standin").definedBy("gapproxy.standin..").layer("daemon").definedBy("gapproxy.daemon..")
-      .layer("sim").definedBy("gapproxy.sim..").layer("day").definedBy("gapproxy.day..").layer("cli").definedBy("gapproxy.cli..")
+      .layer("sim").definedBy("gapproxy.sim..").layer("day").definedBy("gapproxy.day..").layer("soak").definedBy("gapproxy.soak..").layer("cli").definedBy("gapproxy.cli..")
       .whereLayer("module").mayOnlyBeAccessedByLayers("gateway", "benchlink")
       .whereLayer("api").mayOnlyBeAccessedByLayers("module", "benchlink", "config", "gateway", "platform")
       .whereLayer("benchlink").mayOnlyBeAccessedByLayers("cli")
       .whereLayer("config").mayOnlyBeAccessedByLayers("benchlink", "platform", "gateway", "daemon", "sim", "day", "cli")
-      .whereLayer("http").mayOnlyBeAccessedByLayers("wires", "gateway", "platform", "standin", "daemon", "sim", "day")
+      .whereLayer("http").mayOnlyBeAccessedByLayers("wires", "gateway", "platform", "standin", "daemon", "sim", "day", "soak")
       .whereLayer("trace").mayOnlyBeAccessedByLayers("gateway", "platform", "daemon", "sim", "cli")
       .whereLayer("platform").mayOnlyBeAccessedByLayers("daemon", "cli")
       .whereLayer("gateway").mayOnlyBeAccessedByLayers("platform", "daemon", "sim")
-      .whereLayer("audit").mayOnlyBeAccessedByLayers("standin", "daemon", "sim", "day", "cli")
+      .whereLayer("audit").mayOnlyBeAccessedByLayers("standin", "daemon", "sim", "day", "soak", "cli")
       .whereLayer("standin").mayOnlyBeAccessedByLayers("daemon", "sim", "day", "cli")
       .whereLayer("sim").mayOnlyBeAccessedByLayers("day", "cli")
       .whereLayer("daemon").mayOnlyBeAccessedByLayers("day", "cli")
       .whereLayer("day").mayOnlyBeAccessedByLayers("cli")
+      .whereLayer("soak").mayOnlyBeAccessedByLayers("cli")
       .whereLayer("cli").mayNotBeAccessedByAnyLayer();
 
   @ArchTest
   static final ArchRule MACHINE = noClasses()
-      .that().resideOutsideOfPackages("gapproxy.runtime..", "gapproxy.sim..", "gapproxy.daemon..", "gapproxy.day..",
+      .that().resideOutsideOfPackages("gapproxy.runtime..", "gapproxy.sim..", "gapproxy.daemon..", "gapproxy.day..", "gapproxy.soak..",
           "gapproxy.cli..")
       .should().dependOnClassesThat().haveFullyQualifiedName("java.lang.Thread")
       .orShould().dependOnClassesThat().resideInAnyPackage("java.util.concurrent.locks", "java.nio.channels")
