--- a/src/main/java/gapproxy/cli/SoakCommand.java
+++ b/src/main/java/gapproxy/cli/SoakCommand.java
@@ -29,6 +29,9 @@
   private Set<Integer> only = Set.of();
   @Option(names = "--plan", description = "Prints the plan and plays nothing.")
   private boolean plan;
+  @Option(names = "--shim", defaultValue = "", paramLabel = "SPEC", description = {"What system calls of the gateways do, as CALL=WHAT/EVERY@SIDE or",
+      "clock=SECONDS/AFTER, joined by commas; needs a C compiler."})
+  private String shim;
   @Option(names = "--logs", paramLabel = "DIR", description = "Where gateways' logs and settings are left.")
   private Path logs;
 
@@ -52,11 +55,11 @@
 
   private boolean play(SoakPlan p) throws IOException, InterruptedException {
     Path dir = logs == null ? Files.createTempDirectory("gapproxy-soak") : Files.createDirectories(logs.resolve("seed-" + p.seed()));
-    try (Soak soak = new Soak(p, dir)) {
+    try (Soak soak = new Soak(p, dir, shim)) {
       Soak.Result r = soak.play();
-      System.out.printf("seed %d: %s; asked %d %s; streams %d, late %d, late under trouble %d; longest held %d ms; injected %d; harness late by up to %d ms%n",
+      System.out.printf("seed %d: %s; asked %d %s; streams %d, late %d, late under trouble %d; longest held %d ms; injected %d, by the shim %d; harness late by up to %d ms%n",
           p.seed(), r.good() ? "nothing found" : "FOUND", r.asked(), r.ends(), r.verdict().streams(), r.verdict().late(), r.verdict().excused(),
-          r.verdict().report().longestHeldMs(), r.injected(), r.latenessMs());
+          r.verdict().report().longestHeldMs(), r.injected(), r.byShim(), r.latenessMs());
       r.broken().forEach(b -> System.out.println("  by the traffic: " + b));
       r.counted().stream().limit(20).forEach(c -> System.out.println("  by a gateway:   " + c));
       return r.good();
--- a/src/main/java/gapproxy/soak/GatewayProcess.java
+++ b/src/main/java/gapproxy/soak/GatewayProcess.java
@@ -1,6 +1,7 @@
 package gapproxy.soak;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -10,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -17,26 +19,41 @@
 final class GatewayProcess {
   private static final List<String> FLAGS = List.of("-XX:-UsePerfData", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss256k",
       "-Xms32m", "-Xmx64m");
+  private static final int LEAST_PORT = 12_000, PORTS = 18_000, PORT_TRIES = 100;
   private static final long READY_WITHIN_MS = 10_000, LOOK_MS = 20;
 
   final String name;
   final int port;
   private final Path dir;
-  private final List<String> environment;
+  private List<String> environment = List.of();
   private Process process;
   private int starts;
 
   /** What a process holds. */
   record Held(long descriptors, long threads, long residentKb) {}
 
-  /** @param environment of the process, as NAME=VALUE */
-  GatewayProcess(String name, Path dir, List<String> environment) throws IOException {
+  GatewayProcess(String name, Path dir) throws IOException {
     this.name = name;
     this.dir = dir;
-    this.environment = environment;
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      port = free.getLocalPort();
+    port = freePort();
+  }
+
+  /** A port that the system gives to nobody who asks for any: those of proxies and clients come from above. */
+  private static int freePort() throws IOException {
+    for (int i = 0; i < PORT_TRIES; i++) {
+      int some = LEAST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+      try (ServerSocket free = new ServerSocket(some, 1, InetAddress.getByName("127.0.0.1"))) {
+        return free.getLocalPort();
+      } catch (BindException e) {
+        continue;
+      }
     }
+    throw new IOException("no port is free");
+  }
+
+  /** @param more variables of its next start, as NAME=VALUE */
+  void environment(List<String> more) {
+    environment = more;
   }
 
   Path config() {
--- /dev/null
+++ b/src/main/java/gapproxy/soak/Shim.java
@@ -0,0 +1,53 @@
+package gapproxy.soak;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** The library that makes system calls of gateways fail, built from its source by the machine's C compiler. */
+final class Shim {
+  private static final String SOURCE = "fault_shim.c";
+  private final Path library;
+  private final String spec;
+  private final Path dir;
+
+  /**
+   * Builds it.
+   *
+   * @param spec what is to fail, as the source says
+   * @throws IOException if there is no compiler, or it fails
+   */
+  Shim(String spec, Path dir) throws IOException, InterruptedException {
+    this.spec = spec;
+    this.dir = dir;
+    library = dir.resolve("fault_shim.so");
+    Path source = dir.resolve(SOURCE);
+    try (InputStream in = Shim.class.getResourceAsStream("/gapproxy/soak/" + SOURCE)) {
+      Files.write(source, in.readAllBytes());
+    }
+    Process cc = new ProcessBuilder("cc", "-O2", "-fPIC", "-shared", "-o", library.toString(), source.toString(), "-ldl", "-lpthread")
+        .redirectErrorStream(true).start();
+    String said = new String(cc.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
+    if (cc.waitFor() != 0) {
+      throw new IOException("the shim can't be built: " + said);
+    }
+  }
+
+  /** What a gateway's process gets, as NAME=VALUE. */
+  List<String> environment(String gateway, int port) {
+    return List.of("LD_PRELOAD=" + library, "GAPPROXY_SHIM=" + spec, "GAPPROXY_SHIM_PORT=" + port, "GAPPROXY_SHIM_COUNT=" + count(gateway));
+  }
+
+  private Path count(String gateway) {
+    return dir.resolve(gateway + ".count");
+  }
+
+  /** How often it did something in a gateway. */
+  long injected(String gateway) throws IOException {
+    return Files.exists(count(gateway)) ? ByteBuffer.wrap(Files.readAllBytes(count(gateway))).order(ByteOrder.nativeOrder()).getLong() : 0;
+  }
+}
--- a/src/main/java/gapproxy/soak/Soak.java
+++ b/src/main/java/gapproxy/soak/Soak.java
@@ -18,6 +18,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -32,7 +33,7 @@
   private static final Duration TOLD_AT_START = Duration.ofSeconds(1);
   private static final long BAD_CLIENT_MS = 3000, HELD_UP_MS = 150, HELD_UP_EVERY_MS = 400;
   private static final int DESCRIPTORS_MORE = 60, THREADS_MORE = 10;
-  private static final double RATE_PER_GATEWAY = 3;
+  private static final double RATE_PER_GATEWAY = 3, WEAK = 0.001;
 
   /**
    * What a run showed.
@@ -40,10 +41,11 @@
    * @param broken all that was found, by the traffic
    * @param counted rules that gateways themselves say were broken, one log line each
    * @param injected bytes and connections that troubles touched
+   * @param byShim system calls and clock readings that the shim changed
    * @param latenessMs the harness' own worst lateness
    */
   public record Result(SoakPlan plan, SoakVerdict verdict, List<String> broken, List<String> counted, long asked, String ends,
-      long injected, long latenessMs) {
+      long injected, long byShim, long latenessMs) {
     /** Whether nothing was found and the troubles had an effect. */
     public boolean good() {
       return broken.isEmpty() && counted.isEmpty() && asked > 0 && (injected > 0 || plan.troubles().isEmpty());
@@ -52,6 +54,8 @@
 
   private final SoakPlan plan;
   private final Path dir;
+  private final Shim shim;
+  private final Set<Plant> plants;
   private final LiveLoop loop = new LiveLoop("soak");
   private final LiveNet net = new LiveNet("soak-net", 2);
   private final FaultProxy proxy = new FaultProxy();
@@ -70,8 +74,17 @@
   private SoakSite site;
   private SoakClients clients;
 
-  /** @param dir for configurations and logs */
-  public Soak(SoakPlan plan, Path dir) throws IOException {
+  /**
+   * @param dir for configurations and logs
+   * @param shim what system calls of the gateways are to do, or "" for nothing
+   */
+  public Soak(SoakPlan plan, Path dir, String shim) throws IOException, InterruptedException {
+    this(plan, dir, shim, Set.of());
+  }
+
+  Soak(SoakPlan plan, Path dir, String shim, Set<Plant> plants) throws IOException, InterruptedException {
+    this.plants = plants;
+    this.shim = shim.isEmpty() ? null : new Shim(shim, dir);
     this.plan = plan;
     this.dir = dir;
     int servers = plan.readers() + plan.writers();
@@ -109,7 +122,11 @@
     });
     List<String> broken = new ArrayList<>(verdict[0].broken());
     broken.addAll(resources);
-    return new Result(plan, verdict[0], broken, counted(), clients.asked(), clients.ends().toString(), proxy.injected(), lateness[0]);
+    long byShim = shimInjected();
+    if (shim != null && byShim == 0) {
+      broken.add("the shim did nothing");
+    }
+    return new Result(plan, verdict[0], broken, counted(), clients.asked(), clients.ends().toString(), proxy.injected(), byShim, lateness[0]);
   }
 
   private interface Work {
@@ -137,9 +154,9 @@
   private void build() throws IOException {
     double rate = RATE_PER_GATEWAY * plan.gateways();
     site = new SoakSite(loop, net, plan, judge, (g, s) -> recent(serverTrouble[g][s]) || recent(gatewayTrouble[g]), id -> clients.seen(id),
-        rate / plan.readers());
+        plants.contains(Plant.WEAK_START) ? WEAK : rate / plan.readers(), plants);
     for (int g = 0; g < plan.gateways(); g++) {
-      gateways.add(new GatewayProcess(SoakSite.gatewayName(g), dir, List.of()));
+      gateways.add(new GatewayProcess(SoakSite.gatewayName(g), dir));
       for (SoakSite.Model m : site.models) {
         toServer[g][m.number] = proxy.hop(m.address(g));
         m.dial[g] = toServer[g][m.number].port();
@@ -150,11 +167,14 @@
       toGateway[g] = proxy.hop(new InetSocketAddress("127.0.0.1", gateways.get(g).port));
       fronts.add(new SoakClients.Front(g, new InetSocketAddress("127.0.0.1", toGateway[g].port())));
       gateways.get(g).configure(config(g));
+      if (shim != null) {
+        gateways.get(g).environment(shim.environment(gateways.get(g).name, gateways.get(g).port));
+      }
     }
     HttpClient kept = new HttpClient(loop, net, Duration.ofSeconds(10));
     HttpClient fresh = new HttpClient(loop, net, Duration.ofMillis(1));
     clients = new SoakClients(loop, kept, fresh, judge, fronts, plan.seed(), rate, g -> recent(gatewayTrouble[g])
-        || Stream.of(serverTrouble[g]).anyMatch(this::recent));
+        || Stream.of(serverTrouble[g]).anyMatch(this::recent), plants);
   }
 
   private boolean recent(Duration until) {
@@ -169,7 +189,7 @@
          "settings":{"balancers":%d,"tickUs":4000,"locality":%d,"localities":["a","b"],"kinds":["reading","writing"],
           "classes":[{"name":"talk","repeat":"read_like","sloUs":1500000,"giveUpUs":4000000,"worth":1.0,"stream":true},
            {"name":"note","repeat":"idempotency_key","group":"all","windowUs":%d,"sloUs":1500000,"giveUpUs":4000000,"worth":1.0,"stream":true},
-           {"name":"pay","repeat":"non_idempotent","sloUs":1500000,"giveUpUs":4000000,"worth":2.0,"stream":true}],
+           {"name":"pay","repeat":"%s","sloUs":1500000,"giveUpUs":4000000,"worth":2.0,"stream":true}],
           "projects":[{"name":"town","quotaRps":1000.0}],"overShareWorth":0.2,"registryMode":"pushed",
           "familyInfo":{"ahead":true,"localRead":true,"releaseWithinUs":%d,"roleByKind":["read","write"],"memoryTokens":[200000,200000],
            "reportX0":"share of memory that is held","reportX1":"thousands of prompt tokens waiting to be read or fetched"},
@@ -178,7 +198,8 @@
            "retryAfter":false},
           "stats":{"source":"%s","columns":["outstanding","backlog","x0","x1"]}}}
         """.formatted(SoakSite.gatewayName(g), gateways.get(g).port, toDiscovery[g][discoveryInUse[g]].port(), plan.seed() * 131 + g,
-        site.hosts(g), plan.gateways(), g % 2, micros(s.window()), micros(s.release()), micros(DRAIN_GRACE), SoakSite.START_CAPACITY,
+        site.hosts(g), plan.gateways(), g % 2, micros(s.window()),
+        plants.contains(Plant.EFFECT_MISNAMED) ? "read_like" : "non_idempotent", micros(s.release()), micros(DRAIN_GRACE), SoakSite.START_CAPACITY,
         micros(SoakSite.WARM_UP), SoakSite.TIP_MULTIPLE, micros(SoakSite.FALL), micros(s.idle()), s.copies(), s.probes(),
         s.probes() ? "pull" : "silent");
   }
@@ -290,7 +311,9 @@
   }
 
   private void tell(SoakSite.Model m) {
-    site.tell(m);
+    if (!plants.contains(Plant.DRAIN_NOT_TOLD)) {
+      site.tell(m);
+    }
     for (int g = 0; g < plan.gateways(); g++) {
       int gateway = g;
       boolean held = discoveryTrouble[g] != null && loop.now().compareTo(discoveryTrouble[g].plus(NEWS)) < 0;
@@ -333,8 +356,13 @@
         loop.execute(() -> judge.broken(loop.now(), p.name + (end == null ? " did not end after SIGTERM" : " ended with " + end)));
       }
     }
-    p.kill();
-    onLoop(() -> down(g));
+    if (well || plants.contains(Plant.KILL_NOT_KNOWN)) {
+      p.kill();
+      onLoop(() -> down(g));
+    } else {
+      onLoop(() -> down(g));
+      p.kill();
+    }
     p.start();
     if (p.awaitReady()) {
       onLoop(() -> up(g));
@@ -442,6 +470,14 @@
     return found;
   }
 
+  private long shimInjected() throws IOException {
+    long all = 0;
+    for (GatewayProcess p : gateways) {
+      all += shim == null ? 0 : shim.injected(p.name);
+    }
+    return all;
+  }
+
   private void stopAll() throws IOException, InterruptedException {
     for (GatewayProcess p : gateways) {
       if (p.alive()) {
--- a/src/main/java/gapproxy/soak/SoakClients.java
+++ b/src/main/java/gapproxy/soak/SoakClients.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.IntPredicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -37,6 +38,7 @@
       new RequestClass("pay", "non_replayable"));
   private static final Pattern EVENT_TIME = Pattern.compile("\"at\":(\\d+)");
   private static final Duration CONNECT = Duration.ofMillis(500);
+  private static final int LESS_MS = 800;
   private static final int LONGEST_BUDGET_MS = 4000, SHORTEST_BUDGET_MS = 1500;
   /** The time of the longest request. */
   static final Duration LONGEST = Duration.ofMillis(LONGEST_BUDGET_MS);
@@ -46,7 +48,8 @@
   private final SoakJudge judge;
   private final List<Front> fronts;
   private final SplittableRandom chance;
-  private final java.util.function.IntPredicate troubled;
+  private final IntPredicate troubled;
+  private final Set<Plant> plants;
   private final Set<String> seen = new HashSet<>();           // requests that a gateway has read, as a model server got them
   private final Map<String, Integer> ends = new HashMap<>();
   double rate;
@@ -57,7 +60,7 @@
 
   /** @param troubled whether what passes between clients and a gateway is held up, or what passes to its servers */
   SoakClients(Loop loop, HttpClient kept, HttpClient fresh, SoakJudge judge, List<Front> fronts, long seed, double rate,
-      java.util.function.IntPredicate troubled) {
+      IntPredicate troubled, Set<Plant> plants) {
     this.loop = loop;
     this.kept = kept;
     this.fresh = fresh;
@@ -65,6 +68,7 @@
     this.fronts = fronts;
     this.rate = rate;
     this.troubled = troubled;
+    this.plants = plants;
     chance = new SplittableRandom(seed + 2);
   }
 
@@ -150,7 +154,10 @@
       sent = true;
       asked++;
       open++;
-      judge.asked(id, loop.now().plusMillis(budget));
+      judge.asked(id, loop.now().plusMillis(plants.contains(Plant.LESS_TIME) ? budget - LESS_MS : budget));
+      if (plants.contains(Plant.CLOSED_BEFORE)) {
+        judge.clientClosed(id, loop.now().minus(CONNECT).minus(CONNECT));
+      }
       judge.audit.asked(loop.now(), id, 0, SoakSite.gatewayName(front.gateway), its.repeat, Duration.ofMillis(budget));
       if (leaveAfter != null) {
         loop.after(leaveAfter, () -> {
--- a/src/main/java/gapproxy/soak/SoakSite.java
+++ b/src/main/java/gapproxy/soak/SoakSite.java
@@ -27,7 +27,8 @@
   private static final Map<String, String> JSON = Map.of("content-type", "application/json");
   private static final Map<String, String> DECLINED = Map.of("srv-declined", "1");
   private static final byte[] NONE = new byte[0];
-  private static final Duration BEAT = Duration.ofSeconds(2), NOT_KNOWN = Duration.ofMillis(300), EVENT = Duration.ofMillis(25);
+  private static final Duration BEAT = Duration.ofSeconds(2), NOT_KNOWN = Duration.ofMillis(300), EVENT = Duration.ofMillis(25),
+      OLD = Duration.ofMillis(400);
   private static final Duration CLOSED_JUST_NOW = Duration.ofMillis(30);
   private static final int EVENTS = 12;
   static final Duration WARM_UP = Duration.ofSeconds(10), FALL = Duration.ofSeconds(2);
@@ -39,6 +40,7 @@
   private final SplittableRandom chance;
   private final BiPredicate<Integer, Integer> delayed;
   private final Consumer<String> seen;
+  private final Set<Plant> plants;
   private final double ratePerServer;
   final List<Model> models = new ArrayList<>();
   private final List<Discovery> discoveries = new ArrayList<>();
@@ -52,12 +54,13 @@
    * @param ratePerServer requests a second that a warm server gets
    */
   SoakSite(Loop loop, Net net, SoakPlan plan, SoakJudge judge, BiPredicate<Integer, Integer> delayed,
-      Consumer<String> seen, double ratePerServer) throws IOException {
+      Consumer<String> seen, double ratePerServer, Set<Plant> plants) throws IOException {
     this.loop = loop;
     this.judge = judge;
     this.settings = plan.settings();
     this.delayed = delayed;
     this.seen = seen;
+    this.plants = plants;
     this.ratePerServer = ratePerServer;
     chance = new SplittableRandom(plan.seed() + 1);
     for (int i = 0; i < plan.readers() + plan.writers(); i++) {
@@ -131,7 +134,9 @@
 
     private void lease(Exchange x, int gateway, String id) {
       if (x.request.method().equals("DELETE")) {
-        models.forEach(m -> m.release(id, false));
+        if (!plants.contains(Plant.RELEASE_IGNORED)) {
+          models.forEach(m -> m.release(id, false));
+        }
         x.respond(204, JSON, NONE);
       } else if (readsOut.containsKey(id)) {
         hold(gateway, id);
@@ -207,8 +212,9 @@
         judge.audit.ended(loop.now(), number, id);
         x.cut();
       } else if (n < EVENTS) {
+        Duration written = loop.now().minus(plants.contains(Plant.OLD_EVENTS) ? OLD : Duration.ZERO);
         x.write("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"w\"},\"finish_reason\":null}],\"at\":"
-            + loop.now().toNanos() / 1000 + "}\n\n");
+            + written.toNanos() / 1000 + "}\n\n");
         loop.after(EVENT, () -> event(x, id, mine, n + 1));
       } else {
         x.write("data: {\"choices\":[],\"usage\":{\"prompt_tokens\":900,\"completion_tokens\":9,"
--- /dev/null
+++ b/src/test/java/gapproxy/soak/SoakTest.java
@@ -0,0 +1,67 @@
+package gapproxy.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gapproxy.soak.SoakPlan.Kind;
+import gapproxy.soak.SoakPlan.Trouble;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The short form of the soak: fixed plans of real processes, and planted faults that the judge has to find. */
+class SoakTest {
+  private static final SoakPlan.Settings SETTINGS = new SoakPlan.Settings(Duration.ofMillis(500), Duration.ofMillis(600), true, true,
+      Duration.ofMillis(2500));
+
+  @TempDir
+  private Path dir;
+
+  private static Trouble trouble(Kind kind, int atMs, int spanMs, double share) {
+    return new Trouble(kind, Duration.ofMillis(atMs), Duration.ofMillis(spanMs), share);
+  }
+
+  private static SoakPlan plan(int gateways, int seconds, Trouble... troubles) {
+    return new SoakPlan(1, gateways, 6, 6, Duration.ofSeconds(seconds), SETTINGS, List.of(troubles));
+  }
+
+  private Soak.Result play(SoakPlan plan, Set<Plant> plants) throws Exception {
+    try (Soak soak = new Soak(plan, dir, "", plants)) {
+      return soak.play();
+    }
+  }
+
+  @Test
+  void nothingIsFoundWhileServersFallSilentAndGatewaysStop() throws Exception {
+    Soak.Result r = play(plan(4, 9, trouble(Kind.SERVERS_SILENT, 2000, 2000, 0.5), trouble(Kind.GATEWAY_TERM, 2500, 1, 0.9),
+        trouble(Kind.CLIENTS_LEAVE, 2000, 4000, 0.4), trouble(Kind.SERVERS_CUT_AFTER_REQUEST, 5000, 2000, 0.3)), Set.of());
+    assertEquals(List.of(), r.broken(), r.toString());
+    assertTrue(r.good(), r.toString());
+  }
+
+  @Test
+  void nothingIsFoundWhileDiscoveryMovesAndServersDrainAndRestart() throws Exception {
+    Soak.Result r = play(plan(4, 9, trouble(Kind.GATEWAY_RELOAD, 2000, 1, 0.9), trouble(Kind.SERVERS_DRAIN, 2100, 2000, 0.6),
+        trouble(Kind.SERVERS_RESTART, 3000, 1, 0.6), trouble(Kind.SERVERS_JUNK_AT_REST, 4000, 2000, 0.4),
+        trouble(Kind.GATEWAY_KILL, 5000, 1, 0.6)), Set.of());
+    assertEquals(List.of(), r.broken(), r.toString());
+    assertTrue(r.good(), r.toString());
+  }
+
+  @Test
+  void plantedFaultsAreFound() throws Exception {
+    Soak.Result r = play(plan(3, 9, trouble(Kind.SERVERS_DRAIN, 1500, 5000, 0.99), trouble(Kind.GATEWAY_KILL, 4000, 1, 0.99),
+        trouble(Kind.GATEWAY_KILL, 6500, 1, 0.99), trouble(Kind.SERVERS_CUT_AFTER_REQUEST, 1500, 7000, 0.5),
+        trouble(Kind.SERVERS_RESTART, 2500, 1, 0.99)), EnumSet.allOf(Plant.class));
+    for (int rule = 1; rule <= 5; rule++) {
+      assertTrue(r.verdict().report().counts()[rule] > 0, "rule " + rule + " was not found broken: " + r);
+    }
+    for (String what : List.of("after its client's close", "a server was told", "over 300 ms late")) {
+      assertTrue(r.broken().stream().anyMatch(b -> b.contains(what)), what + " was not found: " + r.broken());
+    }
+  }
+}
