A server that may not be probed is asked by an idle release; the soak's judge is told in order

Change: where probes are not allowed a quiet server is asked by a release for a request that is over. A release that nothing was known to be held for no longer counts as late.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -131,8 +131,9 @@
       }
     }
     if (l.form() != Event.ListForm.CHANGES) {
-      servers.values().stream().filter(s -> l.lines().stream().noneMatch(line -> line.server() == s.id))
-          .forEach(s -> mail.post(s, new Note.Removed()));
+      Set<Long> named = new HashSet<>();
+      l.lines().forEach(line -> named.add(line.server()));
+      servers.values().stream().filter(s -> !named.contains(s.id)).forEach(s -> mail.post(s, new Note.Removed()));
     }
   }
 
@@ -153,11 +154,15 @@
       moves.halve();
       pools.values().forEach(p -> p.waits.halve());
     }
-    pools.forEach((role, p) -> p.beat(beats % BEATS_TO_HALVE == 0,
-        (int) servers.values().stream().filter(s -> s.role() == role && s.ready() && !s.cold()).count(),
-        (int) servers.values().stream().filter(s -> s.role() == role && s.ready()).count()));
+    Map<Role, List<Server>> ready = new EnumMap<>(Role.class);
+    servers.values().stream().filter(Server::ready).forEach(s -> ready.computeIfAbsent(s.role(), r -> new ArrayList<>()).add(s));
+    pools.forEach((role, p) -> {
+      List<Server> its = ready.getOrDefault(role, List.of());
+      p.beat(beats % BEATS_TO_HALVE == 0, (int) its.stream().filter(s -> !s.cold()).count(), its.size());
+    });
     servers.values().removeIf(s -> s.running.isEmpty() && s.goneAt != null && now.minus(s.goneAt).compareTo(GONE_KEPT) > 0);
-    servers.values().forEach(s -> mail.post(s, new Note.Beat(beats % BEATS_TO_HALVE == 0)));
+    boolean all = beats % BEATS_TO_HALVE == 0 || beats % BEATS_TO_FORGET_WAITS == 0; // to others a beat means nothing
+    servers.values().stream().filter(s -> all || s.heedsEachBeat()).forEach(s -> mail.post(s, new Note.Beat(beats % BEATS_TO_HALVE == 0)));
     cells.count(servers.values().stream().filter(s -> s.ready() && !s.aside).toList(), Server::strength);
   }
 
@@ -502,9 +507,14 @@
       trickleFor = null;
     }
 
+    private boolean there() { return listed && line.state() != Event.State.GONE; }
+
+    /** Whether it may have something to ask, or is to be forgotten. */
+    private boolean heedsEachBeat() { return aside || mute || goneAt != null || !there(); }
+
     /** Probing: asks for reports that come no other way, and whether a server set aside answers again. */
     private void beat(boolean halve) {
-      boolean there = listed && line.state() != Event.State.GONE;
+      boolean there = there();
       goneAt = there ? null : goneAt == null ? now : goneAt;
       if (set.limits().probes() && ready() && (aside && !probed || mute) && now.compareTo(nextProbe) >= 0) {
         out.add(new Action.Probe(id));
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -724,7 +724,9 @@
    */
   private void releaseNow(Req r) {
     Fleet.Server at = r.state != null ? r.state.at() : r.place != null ? r.place.at() : r.unsure.iterator().next();
-    traceReservation(r, at, "released, as no attempt is known to have arrived");
+    trace(r, at, "released, as no attempt is known to have arrived", null);
+    LOG.atInfo().addKeyValue("request_id", requestId(r)).addKeyValue("server", at.address()).addKeyValue("state", r.stage())
+        .addKeyValue("cause", "not_arrived").log("what is held is released, as no attempt is known to have arrived");
     if (r.client.id() == null) {
       freeState(r);
       leave(r);
@@ -770,6 +772,7 @@
   private void settle(Req r) {
     if (r.answered && !r.anyOut()) {
       drop(r);
+      servers.finished(requestId(r));
       over.add(r);
     }
   }
--- a/src/main/java/gapproxy/gateway/Held.java
+++ b/src/main/java/gapproxy/gateway/Held.java
@@ -67,6 +67,7 @@
     private final String id;
     private final boolean anywhere;
     private final Duration since = loop.now();
+    private final boolean known;                              // that something is held, and not only that it may be
     private boolean unsure, over;
     private int calls;
 
@@ -74,6 +75,7 @@
       this.at = at;
       this.id = id;
       this.unsure = unsure;
+      this.known = !unsure;
       this.anywhere = anywhere;
       freeing++;
     }
@@ -104,7 +106,9 @@
           return;
         } else if (well && (any || !unsure)) {
           over = true;
-          guard.released(id, at, loop.now().minus(since));
+          if (known) {
+            guard.released(id, at, loop.now().minus(since));
+          }
           freeing -= calls <= TRIES ? 1 : 0;
         } else {
           unsure &= !well;
--- a/src/main/java/gapproxy/gateway/ReleaseWatch.java
+++ b/src/main/java/gapproxy/gateway/ReleaseWatch.java
@@ -3,6 +3,8 @@
 import gapproxy.runtime.Loop;
 import java.time.Duration;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Watches that nothing is held for a request longer than the release time while none of its attempts is known to have arrived.
@@ -16,6 +18,7 @@
  * <p>Belongs to the gateway's loop.
  */
 final class ReleaseWatch {
+  private static final Logger LOG = LoggerFactory.getLogger(ReleaseWatch.class);
   /** Parts of the release time after which a quiet server is asked, and after which what is held is released. */
   private static final double ASK_AFTER = 0.35, RELEASE_AFTER = 0.6;
 
@@ -87,7 +90,11 @@
   }
 
   private void ask(Req.Forward f) {
+    Duration asked = loop.now();
     servers.answers(f.at.address(), answers -> {
+      LOG.atInfo().addKeyValue("request_id", Gateway.requestId(f.req)).addKeyValue("server", f.at.address())
+          .addKeyValue("role", f.at.role()).addKeyValue("answers", answers).addKeyValue("ms", loop.now().minus(asked).toMillis())
+          .log("a quiet server was asked whether it answers");
       if (answers && f.out()) {
         f.arrived = true;
         changed(f.req);
--- a/src/main/java/gapproxy/gateway/Servers.java
+++ b/src/main/java/gapproxy/gateway/Servers.java
@@ -100,6 +100,10 @@
   /** Frees what a server holds for an id. */
   void free(InetSocketAddress to, String id, Duration within, Released then);
 
+  /** A request is over: it has its answer, and no attempt of it is out. */
+  default void finished(String id) {
+  }
+
   /** An address is no longer in use. */
   void forget(InetSocketAddress to);
 
--- a/src/main/java/gapproxy/platform/PlatformServers.java
+++ b/src/main/java/gapproxy/platform/PlatformServers.java
@@ -32,6 +32,7 @@
   private final HttpClient http;
   private final Loop loop;
   private final WireSettings wire;
+  private String lastFinished;                                // the id of a request that is over, or null
 
   PlatformServers(HttpClient http, Loop loop, WireSettings wire) {
     this.http = http;
@@ -201,11 +202,16 @@
     return http.lastHeard(from);
   }
 
-  /** By a probe, or where the settings allow none by a connection that comes up and is kept for the next request. */
+  /**
+   * By a probe, or where the settings allow none by releasing what a request held that is over: every server answers that, and
+   * it changes nothing. A connection that comes up would not do, as a machine accepts for a process that hangs.
+   */
   @Override
   public void answers(InetSocketAddress at, Consumer<Boolean> then) {
     if (wire.settings().limits().probes()) {
       Servers.super.answers(at, then);
+    } else if (lastFinished != null) {
+      free(at, lastFinished, wire.connectWithin().multipliedBy(2), (well, any) -> then.accept(well));
     } else {
       http.open(at, wire.connectWithin(), then);
     }
@@ -236,6 +242,11 @@
         (status, headers, body, failure, why) -> then.then(failure == null && status / 100 == 2, false));
   }
 
+  @Override
+  public void finished(String id) {
+    lastFinished = id;
+  }
+
   @Override
   public void forget(InetSocketAddress to) {
     http.closeIdle(to);
--- a/src/main/java/gapproxy/soak/Soak.java
+++ b/src/main/java/gapproxy/soak/Soak.java
@@ -56,6 +56,7 @@
   private final Path dir;
   private final Shim shim;
   private final Set<Plant> plants;
+  private final Thread endGateways = new Thread(this::killAll, "end-gateways");
   private final LiveLoop loop = new LiveLoop("soak");
   private final LiveNet net = new LiveNet("soak-net", 2);
   private final FaultProxy proxy = new FaultProxy();
@@ -84,6 +85,7 @@
 
   Soak(SoakPlan plan, Path dir, String shim, Set<Plant> plants) throws IOException, InterruptedException {
     this.plants = plants;
+    Runtime.getRuntime().addShutdownHook(endGateways);        // a soak that is told to end leaves no process behind
     this.shim = shim.isEmpty() ? null : new Shim(shim, dir);
     this.plan = plan;
     this.dir = dir;
@@ -316,8 +318,9 @@
     }
     for (int g = 0; g < plan.gateways(); g++) {
       int gateway = g;
-      boolean held = discoveryTrouble[g] != null && loop.now().compareTo(discoveryTrouble[g].plus(NEWS)) < 0;
-      loop.after(held ? NEWS : Duration.ZERO, () -> toldNow(gateway, m));
+      boolean late = discoveryTrouble[g] != null && loop.now().compareTo(discoveryTrouble[g].plus(NEWS)) < 0;
+      boolean good = m.health.equals("up");                   // which counts as told as soon as it may have been
+      loop.after(late && !good ? NEWS : Duration.ZERO, () -> toldNow(gateway, m));
     }
   }
 
@@ -500,10 +503,19 @@
     return lines;
   }
 
+  private void killAll() {
+    List.copyOf(gateways).stream().filter(p -> p.starts() > 0).forEach(GatewayProcess::kill);
+  }
+
   @Override
   public void close() throws IOException {
-    gateways.stream().filter(p -> p.starts() > 0).forEach(GatewayProcess::kill);
     hands.shutdownNow();
+    killAll();
+    try {
+      Runtime.getRuntime().removeShutdownHook(endGateways);
+    } catch (IllegalStateException e) {
+      return;                                                 // it is ending already
+    }
     if (site != null) {
       loop.call(site::close);
     }
--- a/src/test/java/gapproxy/platform/PlatformTest.java
+++ b/src/test/java/gapproxy/platform/PlatformTest.java
@@ -630,4 +630,22 @@
     }
     assertTrue(ready, "no list after 3 s and " + site.asked.get("watch") + " calls");
   }
+
+  /** A machine accepts connections for a process that hangs: that they come up does not show that a write has arrived. */
+  @Test
+  void aStateIsReleasedThoughTheHungServerAcceptsConnections() throws Exception {
+    node.close();
+    node = PlatformNode.start(new String(config(), StandardCharsets.UTF_8).replace("\"mayProbe\":true", "\"mayProbe\":false")
+        .replace("\"source\":\"pull\"", "\"source\":\"silent\"").getBytes(StandardCharsets.UTF_8));
+    assertEquals(200, status(ask(req("u1"))));
+    loop.call(() -> site.script = (m, x) -> !m.reader);       // all decode servers hang
+    try (Socket s = connect()) {
+      s.getOutputStream().write(req("u2").getBytes(StandardCharsets.UTF_8));
+      assertTrue(holds(() -> site.held.containsKey("u2")), "the prefill server holds what it has read");
+      long since = System.nanoTime();
+      assertTrue(holds(() -> !site.held.containsKey("u2")), "it is never released");
+      long ms = (System.nanoTime() - since) / 1_000_000;
+      assertTrue(ms < 1300, "released after " + ms + " ms, 1000 are allowed");
+    }
+  }
 }
