Soak: the planted fault of rule 1 does not hang on what a kill happens to meet

Seen: the whole suite on a loaded machine had one red of its first 17 classes, SoakTest.plantedFaultsAreFound: no request was in hand at the gateways that were killed, so rule 1 was not broken. Change: a further planted fault, answers that the judge does not see, breaks rule 1 each time; the kills stay.

--- a/src/main/java/gapproxy/soak/Plant.java
+++ b/src/main/java/gapproxy/soak/Plant.java
@@ -8,6 +8,8 @@
   RELEASE_IGNORED,
   /** Gateways take the class that may not be repeated for one that may. */
   EFFECT_MISNAMED,
+  /** Some answers that clients get are not seen by the judge. */
+  ANSWER_NOT_SEEN,
   /** The judge does not know of kills. */
   KILL_NOT_KNOWN,
   /** Clients have less time than they say. */
--- a/src/main/java/gapproxy/soak/SoakClients.java
+++ b/src/main/java/gapproxy/soak/SoakClients.java
@@ -38,7 +38,7 @@
       new RequestClass("pay", "non_replayable"));
   private static final Pattern EVENT_TIME = Pattern.compile("\"at\":(\\d+)");
   private static final Duration CONNECT = Duration.ofMillis(500);
-  private static final int LESS_MS = 800;
+  private static final int LESS_MS = 800, NOT_SEEN_EVERY = 5;
   private static final int LONGEST_BUDGET_MS = 4000, SHORTEST_BUDGET_MS = 1500;
   /** The time of the longest request. */
   static final Duration LONGEST = Duration.ofMillis(LONGEST_BUDGET_MS);
@@ -209,6 +209,10 @@
       if (!sent) {
         sent();
       }
+      if (plants.contains(Plant.ANSWER_NOT_SEEN) && asked % NOT_SEEN_EVERY == 0) {
+        finish("not seen");
+        return;
+      }
       boolean whole = status == 200 && text.toString().endsWith("data: [DONE]\n\n");
       Traffic.Answer how = whole ? Traffic.Answer.DONE : status == 200 ? Traffic.Answer.ABORTED
           : status == 429 || status == 503 ? Traffic.Answer.PUSHED_BACK : Traffic.Answer.ABORTED;
