A release counts as late where something was known to be held

Change: Gateway.drop says whether a state was known. Measured: SendGuardTest, HeldTest, GatewayCrossingsTest, ArchitectureTest green.

--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -780,7 +780,7 @@
   /** Something may be held, as far as can be told; where the req's id frees all, not before the last forward has ended. */
   private void unsure(Req r, Fleet.Server at, String id) {
     if (r.client.id() == null) {
-      held.freeLater(at.address(), id, false);
+      held.freeLater(at.address(), id, false, false);
     } else {
       r.unsure.add(at);
     }
@@ -861,10 +861,11 @@
   private void drop(Req r) {
     if (r.client.id() != null) {                              // one call frees all, so not while a forward needs some of it
       if (!r.anyOut()) {
+        boolean known = r.state != null;
         leave(r);
         freeState(r);
         if (!r.unsure.isEmpty()) {
-          held.freeLater(r.unsure.iterator().next().address(), r.client.id(), true);
+          held.freeLater(r.unsure.iterator().next().address(), r.client.id(), true, known);
           r.unsure.clear();
         }
       }
--- a/src/main/java/gapproxy/gateway/Held.java
+++ b/src/main/java/gapproxy/gateway/Held.java
@@ -43,7 +43,7 @@
    * @param anywhere whether every server frees it
    */
   void free(InetSocketAddress at, String id, boolean anywhere) {
-    new Freeing(at, id, false, anywhere).next();
+    new Freeing(at, id, false, anywhere, true).next();
   }
 
   /**
@@ -51,9 +51,10 @@
    * news of its closed connection: where nothing was held yet it is asked once more.
    *
    * @param anywhere whether every server frees it, so that one that can't be reached does not keep it held
+   * @param known whether something of it is known to be held
    */
-  void freeLater(InetSocketAddress at, String id, boolean anywhere) {
-    new Freeing(at, id, true, anywhere).next();
+  void freeLater(InetSocketAddress at, String id, boolean anywhere, boolean known) {
+    new Freeing(at, id, true, anywhere, known).next();
   }
 
   /**
@@ -71,11 +72,11 @@
     private boolean unsure, over;
     private int calls;
 
-    Freeing(InetSocketAddress at, String id, boolean unsure, boolean anywhere) {
+    Freeing(InetSocketAddress at, String id, boolean unsure, boolean anywhere, boolean known) {
       this.at = at;
       this.id = id;
       this.unsure = unsure;
-      this.known = !unsure;
+      this.known = known;
       this.anywhere = anywhere;
       freeing++;
     }
--- a/src/test/java/gapproxy/gateway/HeldTest.java
+++ b/src/test/java/gapproxy/gateway/HeldTest.java
@@ -89,7 +89,7 @@
     LiveLoop loop = new LiveLoop("held");
     Cut cut = new Cut();
     Held held = new Held(cut, loop, WITHIN, than -> List.of(List.of(at(9), at(8), at(7)), List.of(at(6), at(2))), metrics, guard(loop));
-    loop.execute(() -> held.freeLater(at(1), "x", true));
+    loop.execute(() -> held.freeLater(at(1), "x", true, true));
     boolean inTime = cut.reached.await(WITHIN.toMillis(), TimeUnit.MILLISECONDS);
     List<Integer> asked = new ArrayList<>();
     loop.call(() -> asked.addAll(cut.asked));
@@ -104,7 +104,7 @@
     Cut cut = new Cut();
     List<InetSocketAddress> others = List.of(at(2), at(3), at(4), at(5), at(6));
     Held held = new Held(cut, loop, WITHIN, than -> List.of(others), metrics, guard(loop));
-    loop.execute(() -> held.freeLater(at(1), "x", true));
+    loop.execute(() -> held.freeLater(at(1), "x", true, true));
     boolean inTime = cut.reached.await(WITHIN.toMillis(), TimeUnit.MILLISECONDS);
     List<Integer> asked = new ArrayList<>();
     loop.call(() -> asked.addAll(cut.asked));
