Red test: what is held for attempts on connections that fell silent is released too late

Cause: stand-ins were silent by whole hops and held nothing for a reservation that they answered 204, so the soak could not contradict the gateway. A dead or late harness gives no verdict (exit code 3).

--- a/src/main/java/gapproxy/audit/Audit.java
+++ b/src/main/java/gapproxy/audit/Audit.java
@@ -196,6 +196,19 @@
     return up.contains(t.gateway) && lives.getOrDefault(t.gateway, 0) == t.life;
   }
 
+  /**
+   * A gateway that was told to stop is killed now. What it took a while after that is lost if it has no whole answer yet.
+   *
+   * @param owedFrom requests that came later are owed their answers
+   */
+  public void killed(Duration at, String gateway, Duration owedFrom) {
+    tries.forEach((name, t) -> {
+      if (!t.over && t.gateway.equals(gateway) && alive(t) && t.asked.compareTo(owedFrom) > 0) {
+        broken(1, at, name + ": taken " + t.asked.minus(owedFrom).toMillis() + " ms after its gateway could still refuse it, and not answered at the kill");
+      }
+    });
+  }
+
   // ---- rule 2
 
   @Override
--- a/src/main/java/gapproxy/cli/SoakCommand.java
+++ b/src/main/java/gapproxy/cli/SoakCommand.java
@@ -15,8 +15,10 @@
 import picocli.CommandLine.Option;
 
 @Command(name = "soak", description = {"Gateways as real processes on loopback under troubles that overlap, drawn from a seed, judged by the traffic.",
-    "Exit code 0 only where nothing was found."})
+    "Exit code 0 only where nothing was found, 1 where something was, 3 where the harness failed in a run and nothing was found in the others."})
 final class SoakCommand implements Callable<Integer> {
+  private static final int FOUND = 1, NO_VERDICT = 3;
+
   @Option(names = "--seed", defaultValue = "1", description = "Of the first plan (default: ${DEFAULT-VALUE}).")
   private long seed;
   @Option(names = "--runs", defaultValue = "1", description = "Plans, each of the next seed (default: ${DEFAULT-VALUE}).")
@@ -40,29 +42,36 @@
     Logs.use(new Config.Log("text", "error"));
     Set<String> pairs = new TreeSet<>();
     int bad = 0;
+    int invalid = 0;
     for (int i = 0; i < runs; i++) {
       SoakPlan p = SoakPlan.draw(seed + i, gateways, Duration.ofSeconds(seconds));
       p = only.isEmpty() ? p : p.only(only);
       System.out.print(p.text());
       pairs.addAll(p.pairs());
       if (!plan) {
-        bad += play(p) ? 0 : 1;
+        Soak.Result r = play(p);
+        invalid += r.valid() ? 0 : 1;
+        bad += r.valid() && !r.good() ? 1 : 0;
       }
     }
-    System.out.printf("%d runs, %d with finds, %d pairs of troubles%n", plan ? 0 : runs, bad, pairs.size());
-    return bad == 0 ? 0 : 1;
+    System.out.printf("%d runs, %d with finds, %d without a verdict, %d pairs of troubles%n", plan ? 0 : runs, bad, invalid, pairs.size());
+    return bad > 0 ? FOUND : invalid > 0 ? NO_VERDICT : 0;
   }
 
-  private boolean play(SoakPlan p) throws IOException, InterruptedException {
+  private Soak.Result play(SoakPlan p) throws IOException, InterruptedException {
     Path dir = logs == null ? Files.createTempDirectory("gapproxy-soak") : Files.createDirectories(logs.resolve("seed-" + p.seed()));
     try (Soak soak = new Soak(p, dir, shim)) {
       Soak.Result r = soak.play();
-      System.out.printf("seed %d: %s; asked %d %s; streams %d, late %d, late under trouble %d; longest held %d ms; injected %d, by the shim %d; harness late by up to %d ms%n",
+      if (!r.valid()) {
+        System.out.printf("seed %d: NO VERDICT, %s%n", p.seed(), r.harnessFault());
+        return r;
+      }
+      System.out.printf("seed %d: %s; asked %d %s; streams %d, late %d, late under trouble %d; longest held %d ms; injected %d, by the shim %d; harness late by up to %d ms; killed while stopping %d%n",
           p.seed(), r.good() ? "nothing found" : "FOUND", r.asked(), r.ends(), r.verdict().streams(), r.verdict().late(), r.verdict().excused(),
-          r.verdict().report().longestHeldMs(), r.injected(), r.byShim(), r.latenessMs());
+          r.verdict().report().longestHeldMs(), r.injected(), r.byShim(), r.latenessMs(), r.killedWhileStopping());
       r.broken().forEach(b -> System.out.println("  by the traffic: " + b));
       r.counted().stream().limit(20).forEach(c -> System.out.println("  by a gateway:   " + c));
-      return r.good();
+      return r;
     }
   }
 }
--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -214,6 +214,11 @@
     return heard.get(from);
   }
 
+  /** Whether a connection to an address waits in the pool. */
+  public boolean rests(InetSocketAddress to) {
+    return pool.containsKey(to);
+  }
+
   /** Closes the connections that wait in the pool, all or those to one address, which is then forgotten. */
   public void closeIdle(InetSocketAddress to) {
     heard.remove(to);
--- a/src/main/java/gapproxy/soak/FaultProxy.java
+++ b/src/main/java/gapproxy/soak/FaultProxy.java
@@ -1,11 +1,10 @@
 package gapproxy.soak;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.ClosedChannelException;
+import java.nio.channels.NotYetConnectedException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
@@ -16,6 +15,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -37,7 +37,9 @@
     /** A connection is reset right behind the last byte of a request. */
     CUT_AFTER_REQUEST,
     /** Half a line comes on connections at rest, and then their end. */
-    JUNK_AT_REST
+    JUNK_AT_REST,
+    /** Connections that are opened carry nothing for a while. */
+    CONNECT_LATE
   }
 
   private static final int BUFFER = 16 << 10;
@@ -45,14 +47,18 @@
   private static final long LOOK_MILLIS = 5;
   private static final long CUT_NANOS = 2_000_000L;           // behind the last byte of a request
   private static final long AT_REST_NANOS = 50_000_000L;
+  private static final long CONNECT_LATE_NANOS = 1_000_000_000L; // at most
 
   private final Selector selector = Selector.open();
   private final Set<Hop> hops = ConcurrentHashMap.newKeySet();
   private final Thread thread = new Thread(this::run, "proxy");
   private final AtomicLong injected = new AtomicLong();
+  private final SplittableRandom chance;
   private volatile boolean closing;
+  private volatile Throwable death;
 
-  FaultProxy() throws IOException {
+  FaultProxy(long seed) throws IOException {
+    chance = new SplittableRandom(seed);
     thread.setDaemon(true);
     thread.start();
   }
@@ -63,6 +69,7 @@
     private final InetSocketAddress target;
     private final List<Link> links = new ArrayList<>();
     private volatile Mode mode = Mode.PASS;
+    private volatile double toSilence;                        // share of its open connections, once
     private Mode applied = Mode.PASS;
 
     private Hop(InetSocketAddress target) throws IOException {
@@ -80,6 +87,12 @@
       mode = to;
       selector.wakeup();
     }
+
+    /** Some of the connections that are open now fall silent for good, both ways and without an error; new ones pass. */
+    void silenceOpenConnections(double share) {
+      toSilence = share;
+      selector.wakeup();
+    }
   }
 
   /** Opens a port that leads to an address. */
@@ -95,6 +108,11 @@
     return injected.get();
   }
 
+  /** What ended its thread, or null: nothing that is seen afterwards tells of the gateways. */
+  Throwable death() {
+    return death;
+  }
+
   private record Piece(ByteBuffer bytes, long due) {}
 
   /** One direction of a connection. */
@@ -117,6 +135,8 @@
     final Way up, down;
     long moved = System.nanoTime();
     long answeredAt;                                          // bytes asked when the last answer came
+    boolean silent;                                           // for good
+    long passesFrom;                                          // nothing passes before
 
     Link(Hop hop, SocketChannel client) throws IOException {
       this.hop = hop;
@@ -131,6 +151,15 @@
       down = new Way(server, client);
       client.register(selector, SelectionKey.OP_READ, this);
       server.register(selector, SelectionKey.OP_CONNECT | SelectionKey.OP_READ, this);
+      if (hop.mode == Mode.CONNECT_LATE) {
+        injected.incrementAndGet();
+        passesFrom = moved + chance.nextLong(CONNECT_LATE_NANOS);
+      }
+    }
+
+    /** What comes stays where it is, the end of either side included. */
+    boolean mute() {
+      return silent || hop.mode == Mode.SILENT;
     }
 
     void reset() {
@@ -147,23 +176,27 @@
   }
 
   private void run() {
+    try {
+      turnUntilClosed();
+    } catch (IOException | RuntimeException e) {
+      death = closing ? null : e;
+    }
+  }
+
+  private void turnUntilClosed() throws IOException {
     while (!closing) {
-      try {
-        selector.select(LOOK_MILLIS);
-        for (Hop h : hops) {
-          if (h.port.keyFor(selector) == null) {
-            h.port.register(selector, SelectionKey.OP_ACCEPT, h);
-          }
-          apply(h);
-        }
-        for (SelectionKey key : selector.selectedKeys()) {
-          handle(key);
+      selector.select(LOOK_MILLIS);
+      for (Hop h : hops) {
+        if (h.port.keyFor(selector) == null) {
+          h.port.register(selector, SelectionKey.OP_ACCEPT, h);
         }
-        selector.selectedKeys().clear();
-        hops.forEach(h -> List.copyOf(h.links).forEach(this::move));
-      } catch (IOException e) {
-        throw new UncheckedIOException(e);
+        apply(h);
       }
+      for (SelectionKey key : selector.selectedKeys()) {
+        handle(key);
+      }
+      selector.selectedKeys().clear();
+      hops.forEach(h -> List.copyOf(h.links).forEach(this::move));
     }
   }
 
@@ -183,28 +216,42 @@
         }
       }
     }
+    if (h.toSilence > 0) {
+      silenceSome(h);
+    }
     if (now == Mode.JUNK_AT_REST) {
       for (Link l : List.copyOf(h.links)) {
-        if (System.nanoTime() - l.moved > AT_REST_NANOS && l.down.pieces.isEmpty()) {
+        if (!l.silent && System.nanoTime() - l.moved > AT_REST_NANOS && l.down.pieces.isEmpty()) {
           injected.incrementAndGet();
-          l.moved = Long.MAX_VALUE / 2;
-          write(l, l.down, ByteBuffer.wrap("HTTP/1.1 20".getBytes(StandardCharsets.US_ASCII)));
-          shutOutput(l, l.down);
+          junk(l);
         }
       }
     }
   }
 
-  private void handle(SelectionKey key) throws IOException {
-    if (key.attachment() instanceof Hop h) {
-      SocketChannel c = h.port.accept();
-      if (c != null && h.mode == Mode.RESET) {
+  private void silenceSome(Hop h) {
+    for (Link l : h.links) {
+      if (chance.nextDouble() < h.toSilence) {
         injected.incrementAndGet();
-        c.setOption(StandardSocketOptions.SO_LINGER, 0);
-        c.close();
-      } else if (c != null) {
-        h.links.add(new Link(h, c));
+        l.silent = true;
       }
+    }
+    h.toSilence = 0;
+  }
+
+  private void junk(Link l) {
+    l.moved = Long.MAX_VALUE / 2;
+    try {
+      write(l, l.down, ByteBuffer.wrap("HTTP/1.1 20".getBytes(StandardCharsets.US_ASCII)));
+      shutOutput(l, l.down);
+    } catch (IOException e) {
+      l.reset();                                              // its gateway has gone meanwhile
+    }
+  }
+
+  private void handle(SelectionKey key) throws IOException {
+    if (key.attachment() instanceof Hop h) {
+      accept(h);
       return;
     }
     Link l = (Link) key.attachment();
@@ -213,7 +260,7 @@
         key.interestOps(SelectionKey.OP_READ);
       }
       if (key.isValid() && key.isReadable()) {
-        if (l.hop.mode == Mode.SILENT) {
+        if (l.mute()) {
           injected.incrementAndGet();
           key.interestOps(0);                                 // what comes stays where it is
         } else {
@@ -225,6 +272,24 @@
     }
   }
 
+  private void accept(Hop h) throws IOException {
+    SocketChannel c = h.port.accept();
+    if (c == null) {
+      return;
+    }
+    try {
+      if (h.mode == Mode.RESET) {
+        injected.incrementAndGet();
+        c.setOption(StandardSocketOptions.SO_LINGER, 0);
+        c.close();
+      } else {
+        h.links.add(new Link(h, c));
+      }
+    } catch (IOException e) {
+      c.close();                                              // its other end has gone before it was looked at
+    }
+  }
+
   private void read(Link l, Way w) throws IOException {
     ByteBuffer b = ByteBuffer.allocate(BUFFER);
     int n = w.from.read(b);
@@ -250,7 +315,7 @@
 
   /** Writes what is due, and ends what has ended. */
   private void move(Link l) {
-    if (l.hop.mode == Mode.SILENT || !l.server.isConnected()) {
+    if (l.mute() || !l.server.isConnected() || System.nanoTime() < l.passesFrom) {
       return;
     }
     try {
@@ -296,11 +361,11 @@
     return !b.hasRemaining();
   }
 
-  private void shutOutput(Link l, Way w) throws IOException {
+  private void shutOutput(Link l, Way w) {
     w.passed = true;
     try {
       w.to.shutdownOutput();
-    } catch (ClosedChannelException | java.nio.channels.NotYetConnectedException e) {
+    } catch (IOException | NotYetConnectedException e) {
       l.reset();
     }
   }
--- a/src/main/java/gapproxy/soak/Soak.java
+++ b/src/main/java/gapproxy/soak/Soak.java
@@ -22,6 +22,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
 /** Plays one plan. */
@@ -29,7 +30,11 @@
   private static final Duration SLACK = Duration.ofMillis(400), DRAIN_GRACE = Duration.ofSeconds(2);
   private static final Duration NEWS = Duration.ofSeconds(6), AFTER_RELOAD = Duration.ofSeconds(4), OLD_DISCOVERY = Duration.ofMillis(1500);
   private static final Duration FRONT_NOTICES = Duration.ofMillis(300), AFTERMATH = Duration.ofSeconds(1);
-  private static final Duration KILLED_AFTER = SoakClients.LONGEST.plusMillis(700 + 2000);
+  private static final Duration SETTLE = Duration.ofMillis(2700), MAY_REFUSE = Duration.ofMillis(700);
+  private static final Duration SINGLY_EVERY = Duration.ofMillis(150), HARNESS_LATE = Duration.ofMillis(300);
+  private static final double OF_OPEN_CONNECTIONS = 0.8, OF_THEM_SINGLY = 0.08, OF_A_ROLE = 0.8;
+  private static final int ROLE_SILENCES = 3, CROWD = 300, SIGNAL_SERIES = 4;
+  private static final long BETWEEN_SIGNALS_MS = 60;
   private static final Duration TOLD_AT_START = Duration.ofSeconds(1);
   private static final long BAD_CLIENT_MS = 3000, HELD_UP_MS = 150, HELD_UP_EVERY_MS = 400;
   private static final int DESCRIPTORS_MORE = 60, THREADS_MORE = 10;
@@ -43,12 +48,19 @@
    * @param injected bytes and connections that troubles touched
    * @param byShim system calls and clock readings that the shim changed
    * @param latenessMs the harness' own worst lateness
+   * @param killedWhileStopping gateways that were still stopping at their kill
+   * @param harnessFault why this run says nothing of the gateways, or null
    */
   public record Result(SoakPlan plan, SoakVerdict verdict, List<String> broken, List<String> counted, long asked, String ends,
-      long injected, long byShim, long latenessMs) {
+      long injected, long byShim, long latenessMs, int killedWhileStopping, String harnessFault) {
+    /** Whether the harness itself worked, so that the rest means something. */
+    public boolean valid() {
+      return harnessFault == null;
+    }
+
     /** Whether nothing was found and the troubles had an effect. */
     public boolean good() {
-      return broken.isEmpty() && counted.isEmpty() && asked > 0 && (injected > 0 || plan.troubles().isEmpty());
+      return valid() && broken.isEmpty() && counted.isEmpty() && asked > 0 && (injected > 0 || plan.troubles().isEmpty());
     }
   }
 
@@ -59,7 +71,8 @@
   private final Thread endGateways = new Thread(this::killAll, "end-gateways");
   private final LiveLoop loop = new LiveLoop("soak");
   private final LiveNet net = new LiveNet("soak-net", 2);
-  private final FaultProxy proxy = new FaultProxy();
+  private final FaultProxy proxy;
+  private final AtomicInteger killedWhileStopping = new AtomicInteger();
   private final ExecutorService hands = Executors.newCachedThreadPool();
   private final SplittableRandom chance;
   private final List<GatewayProcess> gateways = new ArrayList<>();
@@ -90,6 +103,7 @@
     this.plan = plan;
     this.dir = dir;
     int servers = plan.readers() + plan.writers();
+    proxy = new FaultProxy(plan.seed() + 4);
     chance = new SplittableRandom(plan.seed() + 3);
     toServer = new Hop[plan.gateways()][servers];
     toDiscovery = new Hop[plan.gateways()][2];
@@ -113,7 +127,7 @@
     });
     sleep(plan.length());
     onLoop(clients::end);
-    sleep(KILLED_AFTER);
+    sleep(plan.settings().longestBudget().plus(SETTLE));
     List<String> resources = resources();
     stopAll();
     SoakVerdict[] verdict = new SoakVerdict[1];
@@ -128,7 +142,15 @@
     if (shim != null && byShim == 0) {
       broken.add("the shim did nothing");
     }
-    return new Result(plan, verdict[0], broken, counted(), clients.asked(), clients.ends().toString(), proxy.injected(), byShim, lateness[0]);
+    return new Result(plan, verdict[0], broken, counted(), clients.asked(), clients.ends().toString(), proxy.injected(), byShim, lateness[0],
+        killedWhileStopping.get(), harnessFault(lateness[0]));
+  }
+
+  private String harnessFault(long latenessMs) {
+    if (proxy.death() != null) {
+      return "the proxy has ended: " + proxy.death();
+    }
+    return latenessMs > HARNESS_LATE.toMillis() ? "the harness was late by " + latenessMs + " ms" : null;
   }
 
   private interface Work {
@@ -175,7 +197,7 @@
     }
     HttpClient kept = new HttpClient(loop, net, Duration.ofSeconds(10));
     HttpClient fresh = new HttpClient(loop, net, Duration.ofMillis(1));
-    clients = new SoakClients(loop, kept, fresh, judge, fronts, plan.seed(), rate, g -> recent(gatewayTrouble[g])
+    clients = new SoakClients(loop, kept, fresh, judge, fronts, plan, rate, g -> recent(gatewayTrouble[g])
         || Stream.of(serverTrouble[g]).anyMatch(this::recent), plants);
   }
 
@@ -185,13 +207,14 @@
 
   private String config(int g) {
     SoakPlan.Settings s = plan.settings();
+    long longest = micros(s.longestBudget());
     return """
         {"name":"%s","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"%x","limits":{"cores":1.0,"memory_mb":192,"sockets":512},
          "known":%s,
          "settings":{"balancers":%d,"tickUs":4000,"locality":%d,"localities":["a","b"],"kinds":["reading","writing"],
-          "classes":[{"name":"talk","repeat":"read_like","sloUs":1500000,"giveUpUs":4000000,"worth":1.0,"stream":true},
-           {"name":"note","repeat":"idempotency_key","group":"all","windowUs":%d,"sloUs":1500000,"giveUpUs":4000000,"worth":1.0,"stream":true},
-           {"name":"pay","repeat":"%s","sloUs":1500000,"giveUpUs":4000000,"worth":2.0,"stream":true}],
+          "classes":[{"name":"talk","repeat":"read_like","sloUs":%d,"giveUpUs":%d,"worth":1.0,"stream":true},
+           {"name":"note","repeat":"idempotency_key","group":"all","windowUs":%d,"sloUs":%d,"giveUpUs":%d,"worth":1.0,"stream":true},
+           {"name":"pay","repeat":"%s","sloUs":%d,"giveUpUs":%d,"worth":2.0,"stream":true}],
           "projects":[{"name":"town","quotaRps":1000.0}],"overShareWorth":0.2,"registryMode":"pushed",
           "familyInfo":{"ahead":true,"localRead":true,"releaseWithinUs":%d,"roleByKind":["read","write"],"memoryTokens":[200000,200000],
            "reportX0":"share of memory that is held","reportX1":"thousands of prompt tokens waiting to be read or fetched"},
@@ -200,8 +223,8 @@
            "retryAfter":false},
           "stats":{"source":"%s","columns":["outstanding","backlog","x0","x1"]}}}
         """.formatted(SoakSite.gatewayName(g), gateways.get(g).port, toDiscovery[g][discoveryInUse[g]].port(), plan.seed() * 131 + g,
-        site.hosts(g), plan.gateways(), g % 2, micros(s.window()),
-        plants.contains(Plant.EFFECT_MISNAMED) ? "read_like" : "non_idempotent", micros(s.release()), micros(DRAIN_GRACE), SoakSite.START_CAPACITY,
+        site.hosts(g), plan.gateways(), g % 2, longest / 2, longest, micros(s.window()), longest / 2, longest,
+        plants.contains(Plant.EFFECT_MISNAMED) ? "read_like" : "non_idempotent", longest / 2, longest, micros(s.release()), micros(DRAIN_GRACE), SoakSite.START_CAPACITY,
         micros(SoakSite.WARM_UP), SoakSite.TIP_MULTIPLE, micros(SoakSite.FALL), micros(s.idle()), s.copies(), s.probes(),
         s.probes() ? "pull" : "silent");
   }
@@ -229,12 +252,14 @@
   private void up(int g) {
     judge.audit.gateway(loop.now(), SoakSite.gatewayName(g), true);
     fronts.get(g).open = true;
+    fronts.get(g).stopping = false;
     fronts.get(g).life++;
     loop.after(TOLD_AT_START, () -> site.models.forEach(m -> toldNow(g, m)));
   }
 
   private void down(int g) {
     fronts.get(g).open = false;
+    fronts.get(g).stopping = false;
     fronts.get(g).life++;
     judge.audit.gateway(loop.now(), SoakSite.gatewayName(g), false);
   }
@@ -251,7 +276,17 @@
     } else if (t.kind() == Kind.SERVERS_DRAIN || t.kind() == Kind.SERVERS_RESTART) {
       serverChange(t);
     } else if (t.kind().ofServers()) {
-      hopsToServers(t, Mode.valueOf(t.kind().name().substring("SERVERS_".length())));
+      hopsToServers(some(t.share()), t.span(), Mode.valueOf(t.kind().name().substring("SERVERS_".length())));
+    } else if (t.kind() == Kind.CONNECTIONS_SILENT) {
+      silenceConnections(t.share(), OF_OPEN_CONNECTIONS);
+    } else if (t.kind() == Kind.CONNECTIONS_SILENT_SINGLY) {
+      silenceSingly(loop.now().plus(t.span()));
+    } else if (t.kind() == Kind.DECODE_SERVERS_SILENT) {
+      hopsToServers(some(t.share()).stream().filter(m -> !m.reader).toList(), t.span(), Mode.SILENT);
+    } else if (t.kind() == Kind.ROLE_SILENT) {
+      silenceRole(chance.nextBoolean(), t.span().dividedBy(2 * ROLE_SILENCES), ROLE_SILENCES);
+    } else if (t.kind() == Kind.CLIENTS_CROWD) {
+      fronts.stream().filter(f -> f.open && chance.nextDouble() < t.share()).forEach(f -> crowd(f, t.span()));
     } else if (t.kind().name().startsWith("DISCOVERY_")) {
       hopsToDiscovery(t, Mode.valueOf(t.kind().name().substring("DISCOVERY_".length())));
     } else {
@@ -264,16 +299,69 @@
     return site.models.stream().filter(m -> m.number != 0 && m.number != plan.readers() && chance.nextDouble() < share).toList();
   }
 
-  private void hopsToServers(Trouble t, Mode mode) {
-    Duration until = loop.now().plus(t.span());
-    for (SoakSite.Model m : some(t.share())) {
+  private void hopsToServers(List<SoakSite.Model> servers, Duration span, Mode mode) {
+    Duration until = loop.now().plus(span);
+    for (SoakSite.Model m : servers) {
       for (int g = 0; g < plan.gateways(); g++) {
-        during(toServer[g][m.number], mode, t.span());
+        during(toServer[g][m.number], mode, span);
         serverTrouble[g][m.number] = later(serverTrouble[g][m.number], until);
       }
     }
   }
 
+  /** What was on its way on such a connection never arrives, so it excuses nothing. */
+  private void silenceConnections(double ofServers, double ofConnections) {
+    for (SoakSite.Model m : some(ofServers)) {
+      for (int g = 0; g < plan.gateways(); g++) {
+        toServer[g][m.number].silenceOpenConnections(ofConnections);
+      }
+    }
+  }
+
+  private void silenceSingly(Duration until) {
+    if (loop.now().compareTo(until) < 0) {
+      silenceConnections(1, OF_THEM_SINGLY);
+      loop.after(SINGLY_EVERY, () -> silenceSingly(until));
+    }
+  }
+
+  private void silenceRole(boolean readers, Duration span, int times) {
+    hopsToServers(some(OF_A_ROLE).stream().filter(m -> m.reader == readers).toList(), span, Mode.SILENT);
+    if (times > 1) {
+      loop.after(span.multipliedBy(2), () -> silenceRole(readers, span, times - 1));
+    }
+  }
+
+  /** Clients that connect and say nothing, and take the gateway's descriptors. */
+  private void crowd(SoakClients.Front f, Duration span) {
+    f.crowdedUntil = later(f.crowdedUntil, loop.now().plus(span).plus(AFTERMATH));
+    hands.execute(() -> {
+      List<Socket> idle = new ArrayList<>();
+      try {
+        for (int i = 0; i < CROWD; i++) {
+          Socket s = new Socket();
+          idle.add(s);
+          s.connect(f.address, 1000);
+        }
+        sleep(span);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      } catch (IOException e) {
+        return;                                               // a gateway that stops refuses them
+      } finally {
+        idle.forEach(Soak::closeQuietly);
+      }
+    });
+  }
+
+  private static void closeQuietly(Socket s) {
+    try {
+      s.close();
+    } catch (IOException e) {
+      return;                                                 // it is gone already
+    }
+  }
+
   private void hopsToDiscovery(Trouble t, Mode mode) {
     for (int g = 0; g < plan.gateways(); g++) {
       if (chance.nextDouble() < t.share()) {
@@ -349,15 +437,21 @@
     }
   }
 
+  /**
+   * A planned restart: clients go on with the connections that they have, and the kill comes as early as the settings allow. A gateway
+   * may still be stopping then; what it owes at that moment is judged.
+   */
   private void restart(int g, boolean well) throws IOException, InterruptedException {
     GatewayProcess p = gateways.get(g);
     if (well) {
-      p.signal("TERM");
-      loop.execute(() -> loop.after(FRONT_NOTICES, () -> fronts.get(g).open = false));
-      Integer end = p.awaitEnd(KILLED_AFTER.toMillis());
-      if (end == null || end != 0) {
-        loop.execute(() -> judge.broken(loop.now(), p.name + (end == null ? " did not end after SIGTERM" : " ended with " + end)));
+      Duration told = signals(g, p);
+      Integer end = p.awaitEnd(plan.settings().killedAfter().toMillis());
+      if (end == null) {
+        killedWhileStopping.incrementAndGet();
+      } else if (end != 0) {
+        loop.execute(() -> judge.broken(loop.now(), p.name + " ended with " + end));
       }
+      onLoop(() -> judge.audit.killed(loop.now(), p.name, told.plus(MAY_REFUSE)));
     }
     if (well || plants.contains(Plant.KILL_NOT_KNOWN)) {
       p.kill();
@@ -374,6 +468,31 @@
     }
   }
 
+  /** SIGTERM, at times in a series of signals; answers when the first one was sent. */
+  private Duration signals(int g, GatewayProcess p) throws IOException, InterruptedException {
+    List<String> series = switch ((g + (int) plan.seed()) % SIGNAL_SERIES) {
+      case 0 -> List.of("TERM");
+      case 1 -> List.of("HUP", "HUP", "TERM");
+      case 2 -> List.of("HUP", "TERM", "HUP");
+      default -> List.of("TERM", "TERM");
+    };
+    Duration[] told = new Duration[1];
+    for (String signal : series) {
+      if (signal.equals("TERM") && told[0] == null) {
+        onLoop(() -> {
+          told[0] = loop.now();
+          loop.after(FRONT_NOTICES, () -> {
+            fronts.get(g).stopping = fronts.get(g).open;
+            fronts.get(g).open = false;
+          });
+        });
+      }
+      p.signal(signal);
+      Thread.sleep(BETWEEN_SIGNALS_MS);
+    }
+    return told[0];
+  }
+
   /** Moves discovery to its other address, at times twice in a row; the old one closes a while later. */
   private void reload(int g) throws IOException, InterruptedException {
     GatewayProcess p = gateways.get(g);
@@ -488,7 +607,7 @@
       }
     }
     for (GatewayProcess p : gateways) {
-      p.awaitEnd(KILLED_AFTER.toMillis());
+      p.awaitEnd(plan.settings().killedAfter().toMillis());
       p.kill();
     }
   }
--- a/src/main/java/gapproxy/soak/SoakClients.java
+++ b/src/main/java/gapproxy/soak/SoakClients.java
@@ -25,7 +25,9 @@
   static final class Front {
     final int gateway;
     final InetSocketAddress address;
-    boolean open, old;                                        // takes new connections; may be asked on old ones
+    boolean open;                                             // takes new connections
+    boolean stopping;                                         // is asked on the connections that are open
+    Duration crowdedUntil;                                    // others hold its descriptors, or null
     int life;
 
     Front(int gateway, InetSocketAddress address) {
@@ -39,15 +41,15 @@
   private static final Pattern EVENT_TIME = Pattern.compile("\"at\":(\\d+)");
   private static final Duration CONNECT = Duration.ofMillis(500);
   private static final int LESS_MS = 800, NOT_SEEN_EVERY = 5;
-  private static final int LONGEST_BUDGET_MS = 4000, SHORTEST_BUDGET_MS = 1500;
-  /** The time of the longest request. */
-  static final Duration LONGEST = Duration.ofMillis(LONGEST_BUDGET_MS);
+  private static final double SHORTEST_BUDGET = 0.375;        // of the longest
+  private static final Duration CROSSING = Duration.ofMillis(200); // within it a close may have crossed a request
 
   private final Loop loop;
   private final HttpClient kept, fresh;
   private final SoakJudge judge;
   private final List<Front> fronts;
   private final SplittableRandom chance;
+  private final int longestMs;
   private final IntPredicate troubled;
   private final Set<Plant> plants;
   private final Set<String> seen = new HashSet<>();           // requests that a gateway has read, as a model server got them
@@ -59,7 +61,7 @@
   private long asked;
 
   /** @param troubled whether what passes between clients and a gateway is held up, or what passes to its servers */
-  SoakClients(Loop loop, HttpClient kept, HttpClient fresh, SoakJudge judge, List<Front> fronts, long seed, double rate,
+  SoakClients(Loop loop, HttpClient kept, HttpClient fresh, SoakJudge judge, List<Front> fronts, SoakPlan plan, double rate,
       IntPredicate troubled, Set<Plant> plants) {
     this.loop = loop;
     this.kept = kept;
@@ -69,7 +71,8 @@
     this.rate = rate;
     this.troubled = troubled;
     this.plants = plants;
-    chance = new SplittableRandom(seed + 2);
+    longestMs = (int) plan.settings().longestBudget().toMillis();
+    chance = new SplittableRandom(plan.seed() + 2);
   }
 
   void begin() {
@@ -96,7 +99,7 @@
     if (ended) {
       return;
     }
-    List<Front> up = fronts.stream().filter(f -> f.open).toList();
+    List<Front> up = fronts.stream().filter(f -> f.open || f.stopping && kept.rests(f.address)).toList();
     if (!up.isEmpty()) {
       ask(up.get(chance.nextInt(up.size())));
     }
@@ -106,7 +109,8 @@
   private void ask(Front f) {
     RequestClass c = CLASSES.get(chance.nextInt(4) < 2 ? 0 : 1 + chance.nextInt(2));
     String id = String.format("%04x%012x", f.gateway, chance.nextLong() & 0xffffffffffffL);
-    int budget = SHORTEST_BUDGET_MS + chance.nextInt(LONGEST_BUDGET_MS - SHORTEST_BUDGET_MS);
+    int shortest = (int) (longestMs * SHORTEST_BUDGET);
+    int budget = shortest + chance.nextInt(longestMs - shortest);
     new Asked(f, c, id, budget, chance.nextDouble() < leave ? Duration.ofMillis(5 + chance.nextInt(300)) : null).send(kept);
   }
 
@@ -123,6 +127,7 @@
     private final StringBuilder text = new StringBuilder();
     private Duration latest = Duration.ZERO;
     private boolean excused;
+    private Duration sentAt;
 
     Asked(Front front, RequestClass its, String id, int budget, Duration leaveAfter) {
       this.front = front;
@@ -152,6 +157,7 @@
         return;
       }
       sent = true;
+      sentAt = loop.now();
       asked++;
       open++;
       judge.asked(id, loop.now().plusMillis(plants.contains(Plant.LESS_TIME) ? budget - LESS_MS : budget));
@@ -239,7 +245,11 @@
         open--;
         sent = true;
         open++;
+        sentAt = loop.now();
         send(fresh);
+      } else if (nothing && !seen.contains(id) && mayCross()) {
+        judge.audit.left(loop.now(), id, 0, Traffic.Left.HUNG_UP);
+        finish("crossed a close");
       } else if (!nothing && begun) {
         judge.audit.answered(loop.now(), id, 0, Traffic.Answer.ABORTED);
         finish("stream broken");
@@ -248,6 +258,12 @@
         finish("connection ended");
       }
     }
+
+    /** Whether the close may have come before its gateway read it: as it stops, or as others hold its descriptors. */
+    private boolean mayCross() {
+      boolean crowded = front.crowdedUntil != null && loop.now().compareTo(front.crowdedUntil) < 0;
+      return (!front.open || crowded) && loop.now().minus(sentAt).compareTo(CROSSING) <= 0;
+    }
   }
 
   /** A model server has got an attempt: its gateway has read the request. */
--- a/src/main/java/gapproxy/soak/SoakPlan.java
+++ b/src/main/java/gapproxy/soak/SoakPlan.java
@@ -23,7 +23,19 @@
   public enum Kind {
     GATEWAY_TERM, GATEWAY_KILL, GATEWAY_RELOAD, GATEWAY_HELD_UP, SERVERS_LATE, SERVERS_SILENT, SERVERS_RESET, SERVERS_HALF_CLOSE,
     SERVERS_TRICKLE, SERVERS_CUT_AFTER_REQUEST, SERVERS_JUNK_AT_REST, SERVERS_DRAIN, SERVERS_RESTART, DISCOVERY_SILENT, DISCOVERY_LATE,
-    DISCOVERY_RESET, CLIENTS_LEAVE, CLIENTS_STOP_MIDWAY, CLIENTS_BURST, CLIENTS_TRICKLE;
+    DISCOVERY_RESET, CLIENTS_LEAVE, CLIENTS_STOP_MIDWAY, CLIENTS_BURST, CLIENTS_TRICKLE,
+    /** Connections that carry nothing for up to a second after they were opened. */
+    SERVERS_CONNECT_LATE,
+    /** Connections that are open at one moment fall silent for good; new ones pass. */
+    CONNECTIONS_SILENT,
+    /** Connections fall silent for good one after another. */
+    CONNECTIONS_SILENT_SINGLY,
+    /** Decode servers alone fall silent, those with reserved places among them. */
+    DECODE_SERVERS_SILENT,
+    /** Four in five servers of one role fall silent together, three times. */
+    ROLE_SILENT,
+    /** Clients that open many connections and say nothing. */
+    CLIENTS_CROWD;
 
     boolean ofServers() {
       return name().startsWith("SERVERS_");
@@ -54,18 +66,28 @@
    * @param probes whether model servers may be probed
    * @param copies whether a second attempt may run beside another
    * @param idle how long model servers keep connections at rest
+   * @param longestBudget of any request; the end of a gateway that was told to stop follows from it
    */
-  public record Settings(Duration release, Duration window, boolean probes, boolean copies, Duration idle) {}
+  public record Settings(Duration release, Duration window, boolean probes, boolean copies, Duration idle, Duration longestBudget) {
+    private static final Duration LONGEST_COUNTED = Duration.ofSeconds(3), AFTER_LONGEST = Duration.ofMillis(700);
+
+    /** The earliest kill after SIGTERM. */
+    Duration killedAfter() {
+      return (longestBudget.compareTo(LONGEST_COUNTED) > 0 ? LONGEST_COUNTED : longestBudget).plus(AFTER_LONGEST);
+    }
+  }
 
   private static final Duration QUIET = Duration.ofSeconds(4); // first, so that all is warm and connected
   private static final Duration LAST = Duration.ofSeconds(3); // at the end, so that what was late shows
   private static final Duration EVERY = Duration.ofMillis(3500);
+  private static final int[] RELEASES_MS = {250, 500, 500, 1000}, BUDGETS_MS = {1000, 2200, 4000};
 
   /** Draws a plan. */
   public static SoakPlan draw(long seed, int gateways, Duration length) {
     SplittableRandom chance = new SplittableRandom(seed);
-    Settings settings = new Settings(Duration.ofMillis(chance.nextBoolean() ? 500 : 1000), Duration.ofMillis(chance.nextBoolean() ? 600 : 1500),
-        chance.nextInt(4) > 0, chance.nextBoolean(), Duration.ofMillis(chance.nextBoolean() ? 2500 : 15000));
+    Settings settings = new Settings(Duration.ofMillis(RELEASES_MS[chance.nextInt(RELEASES_MS.length)]),
+        Duration.ofMillis(chance.nextBoolean() ? 600 : 1500), chance.nextInt(4) > 0, chance.nextBoolean(),
+        Duration.ofMillis(chance.nextBoolean() ? 2500 : 15000), Duration.ofMillis(BUDGETS_MS[chance.nextInt(BUDGETS_MS.length)]));
     List<Trouble> troubles = new ArrayList<>();
     List<Kind> left = new ArrayList<>();
     for (Duration at = QUIET; at.compareTo(length.minus(LAST)) < 0; at = at.plus(EVERY)) {
--- a/src/main/java/gapproxy/soak/SoakSite.java
+++ b/src/main/java/gapproxy/soak/SoakSite.java
@@ -30,6 +30,8 @@
   private static final Duration BEAT = Duration.ofSeconds(2), NOT_KNOWN = Duration.ofMillis(300), EVENT = Duration.ofMillis(25),
       OLD = Duration.ofMillis(400);
   private static final Duration CLOSED_JUST_NOW = Duration.ofMillis(30);
+  private static final double HELD_THOUGH_NOT_KNOWN = 0.5, NO_ROOM = 0.1, SLOW_WRITE = 0.06; // shares
+  private static final int SLOWEST_WRITE_MS = 1500;
   private static final int EVENTS = 12;
   static final Duration WARM_UP = Duration.ofSeconds(10), FALL = Duration.ofSeconds(2);
   static final double START_CAPACITY = 0.25, TIP_MULTIPLE = 4;
@@ -46,6 +48,8 @@
   private final List<Discovery> discoveries = new ArrayList<>();
   private final Map<String, Integer> readsOut = new HashMap<>();
   private final Set<String> readOnce = new HashSet<>();
+  private final Map<String, Integer> writesWaiting = new HashMap<>();
+  private final boolean releaseSparesWaiting;
   private int sequence = 1;
 
   /**
@@ -63,6 +67,7 @@
     this.plants = plants;
     this.ratePerServer = ratePerServer;
     chance = new SplittableRandom(plan.seed() + 1);
+    releaseSparesWaiting = chance.nextBoolean();
     for (int i = 0; i < plan.readers() + plan.writers(); i++) {
       models.add(new Model(i, i < plan.readers(), net, plan.gateways()));
     }
@@ -134,18 +139,32 @@
 
     private void lease(Exchange x, int gateway, String id) {
       if (x.request.method().equals("DELETE")) {
-        if (!plants.contains(Plant.RELEASE_IGNORED)) {
+        boolean spared = releaseSparesWaiting && writesWaiting.containsKey(id);
+        if (!plants.contains(Plant.RELEASE_IGNORED) && !spared) {
           models.forEach(m -> m.release(id, false));
         }
         x.respond(204, JSON, NONE);
-      } else if (readsOut.containsKey(id)) {
+      } else if (!readsOut.containsKey(id)) {
+        notKnown(x, gateway, id);
+      } else if (chance.nextDouble() < NO_ROOM) {
+        x.respond(409, JSON, NONE);
+      } else {
         hold(gateway, id);
         x.respond(200, JSON, "{}".getBytes(StandardCharsets.UTF_8));
-      } else {
-        loop.after(NOT_KNOWN, () -> x.respond(204, JSON, NONE));
       }
     }
 
+    /** No read is out for a reservation: that is told after a while, and the place may be held even so. */
+    private void notKnown(Exchange x, int gateway, String id) {
+      boolean holds = chance.nextDouble() < HELD_THOUGH_NOT_KNOWN;
+      loop.after(NOT_KNOWN, () -> {
+        if (holds) {
+          hold(gateway, id);
+        }
+        x.respond(204, JSON, NONE);
+      });
+    }
+
     private void hold(int gateway, String id) {
       if (held.add(id)) {
         judge.audit.holds(loop.now(), number, gatewayName(gateway), id);
@@ -190,7 +209,25 @@
       }
     }
 
+    /** Waits for its turn, at times for long, and then fetches its state. */
     private void write(Exchange x, String id, int mine) {
+      if (chance.nextDouble() >= SLOW_WRITE) {
+        fetch(x, id, mine);
+        return;
+      }
+      writesWaiting.merge(id, 1, Integer::sum);
+      loop.after(Duration.ofMillis(chance.nextInt(SLOWEST_WRITE_MS)), () -> {
+        writesWaiting.merge(id, -1, (a, b) -> a + b == 0 ? null : a + b);
+        if (x.open() && life == mine) {
+          fetch(x, id, mine);
+        } else {
+          judge.audit.ended(loop.now(), number, id);
+          x.cut();
+        }
+      });
+    }
+
+    private void fetch(Exchange x, String id, int mine) {
       boolean state = models.stream().anyMatch(m -> m.reader && m.held.contains(id));
       if (!state && readOnce.contains(id)) {
         judge.audit.ended(loop.now(), number, id);
--- a/src/test/java/gapproxy/soak/ShimRun.java
+++ b/src/test/java/gapproxy/soak/ShimRun.java
@@ -14,7 +14,8 @@
 
   /** @param spec what system calls are to do, as the shim's source says */
   static Seen play(String spec, Path dir) throws Exception {
-    SoakPlan.Settings settings = new SoakPlan.Settings(Duration.ofSeconds(1), Duration.ofSeconds(1), true, true, Duration.ofSeconds(15));
+    SoakPlan.Settings settings = new SoakPlan.Settings(Duration.ofSeconds(1), Duration.ofSeconds(1), true, true, Duration.ofSeconds(15),
+        Duration.ofSeconds(4));
     SoakPlan plan = new SoakPlan(1, 2, 6, 6, Duration.ofSeconds(6), settings, List.of());
     try (Soak soak = new Soak(plan, dir, spec, Set.of())) {
       Soak.Result r = soak.play();
--- a/src/test/java/gapproxy/soak/SoakTest.java
+++ b/src/test/java/gapproxy/soak/SoakTest.java
@@ -16,7 +16,7 @@
 /** The short form of the soak: fixed plans of real processes, and planted faults that the judge has to find. */
 class SoakTest {
   private static final SoakPlan.Settings SETTINGS = new SoakPlan.Settings(Duration.ofMillis(500), Duration.ofMillis(600), true, true,
-      Duration.ofMillis(2500));
+      Duration.ofMillis(2500), Duration.ofSeconds(4));
 
   @TempDir
   private Path dir;
@@ -52,6 +52,22 @@
     assertTrue(r.good(), r.toString());
   }
 
+  /**
+   * Symptom: in pre-production eight states and places were held past the release time; each request had one attempt whose bytes had come
+   * to its server's port, was not taken there and was not given up. Sequence: a connection at rest falls silent for good while new ones
+   * pass; a read or write goes out on it; a place is held for the read though its reservation was answered 204, or the state of an earlier
+   * read. Cause: an answer of the server on any other connection passed as news of the attempt. What settled it: of 136 questions asked of
+   * such servers 133 were answered, and the gateway released at 1.68 s what had to be released within 0.5 s; with whole servers held back
+   * nothing was held for longer than 411 ms.
+   */
+  @Test
+  void nothingIsHeldForAttemptsOnConnectionsThatFellSilent() throws Exception {
+    Soak.Result r = play(plan(4, 9, trouble(Kind.CONNECTIONS_SILENT, 2500, 1, 0.99), trouble(Kind.CONNECTIONS_SILENT, 4500, 1, 0.99),
+        trouble(Kind.CONNECTIONS_SILENT_SINGLY, 5500, 3000, 0.99)), Set.of());
+    assertEquals(List.of(), r.broken(), r.toString());
+    assertTrue(r.good(), r.toString());
+  }
+
   @Test
   void plantedFaultsAreFound() throws Exception {
     Soak.Result r = play(plan(3, 9, trouble(Kind.SERVERS_DRAIN, 1500, 5000, 0.99), trouble(Kind.GATEWAY_KILL, 4000, 1, 0.99),
