Early and late releases and silent attempts are logged at warn and counted

Change: one warn line for each early release, each release not acknowledged in time and each attempt ended for silence, with request_id, attempt, server, connection (number, age, last heard), what is held where and since when, and the evidence that was believed; a counter for each. SIGUSR1 writes counters and last events to the log; there is no other way to read them, since a process may listen on one address only. The stand-in releases at a write's first event, and at the end of a write that a release spared.

--- a/src/main/java/gapproxy/cli/NodeCommand.java
+++ b/src/main/java/gapproxy/cli/NodeCommand.java
@@ -79,6 +79,14 @@
         Thread.currentThread().interrupt();
       }
     });
+    Signal.handle(new Signal("USR1"), s -> {
+      try {
+        started.await();
+        node[0].report();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
     Signal.handle(new Signal("TERM"), s -> {
       try {
         started.await();
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -33,6 +33,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
+import org.slf4j.spi.LoggingEventBuilder;
 
 /**
  * One gateway. Each thing that happens becomes one {@link Event}, all that came in at a turn of the loop is given to the
@@ -54,6 +55,7 @@
   private final Servers servers;
   private final Fleet fleet;
   private final Held held;
+  private final HeldClock heldClock;
   private final ReleaseWatch releaseWatch;
   private final SendGuard guard;
   private final Metrics metrics = new Metrics();
@@ -110,7 +112,8 @@
     rules = new Rules(terms.settings(), seed);
     fleet = new Fleet(terms, loop, servers::forget);
     guard = new SendGuard(loop, fleet, terms, metrics, ring);
-    held = new Held(servers, loop, terms.releaseWithin(), fleet::others, metrics, guard);
+    heldClock = new HeldClock(loop, terms.releaseWithin(), ring, guard::heldTooLong);
+    held = new Held(servers, loop, terms.releaseWithin(), fleet::others, metrics);
     releaseWatch = new ReleaseWatch(loop, servers, terms.releaseWithin(), this::releaseNow);
     run = terms.name() + "-" + Long.toString(loop.wall().toEpochMilli(), 36);
     this.source = source.apply(new Lists());
@@ -197,6 +200,12 @@
     return metrics;
   }
 
+  /** Writes the counters and the last events to the log. On the loop. */
+  public void report() {
+    LOG.atWarn().addKeyValue("open", reqs.size()).addKeyValue("metrics", metrics.text()).log("asked for its counters");
+    ring.entries().forEach(e -> LOG.atWarn().addKeyValue("event", e).log("event"));
+  }
+
   public Counts counts() {
     return counts;
   }
@@ -460,6 +469,7 @@
 
         @Override
         public void report(double[] figures) {
+          heard(f);
           f.report = figures;
         }
 
@@ -499,6 +509,20 @@
     trace(f, "attempt is sent");
   }
 
+  /** Something came on an attempt's own connection. */
+  private void heard(Req.Forward f) {
+    if (f.out() && f.arrivedBy != ArrivalEvidence.OWN_CONNECTION) {
+      f.arrivedBy = ArrivalEvidence.OWN_CONNECTION;
+      heldChanged(f.req);
+    }
+  }
+
+  /** Something may be held for a request now, or no longer, or one of its attempts has begun, was heard of or has ended. */
+  private void heldChanged(Req r) {
+    releaseWatch.changed(r);
+    heldClock.changed(r);
+  }
+
   /** The stream of one forward. */
   private final class Writer implements Servers.Writing {
     private final Req.Forward f;
@@ -522,6 +546,7 @@
 
     @Override
     public void report(double[] figures) {
+      heard(f);
       f.report = figures;
     }
 
@@ -540,6 +565,7 @@
         return;
       }
       r.lastChunk = loop.now();
+      heard(f);
       if (!f.begun && begins) {
         begin(f);
       }
@@ -698,10 +724,17 @@
     }
     Req r = f.req;
     watcher.accept(r.stage().name(), f.path.name().toLowerCase(Locale.ROOT) + " ended " + how.name().toLowerCase(Locale.ROOT));
+    if (how == Outcome.READ || how == Outcome.DONE || how == Outcome.FULL) {
+      heard(f);
+    }
     f.how = how;
     f.why = why;
     metrics.attempt(f.path, how);
     trace(f, "attempt ended");
+    if (how == Outcome.TIMED_OUT && !f.begun) {
+      metrics.silence(f.path, f.arrivedBy);
+      describe(LOG.atWarn(), f).log("an attempt was ended, as nothing came back");
+    }
     if (f.limit != null) {
       f.limit.cancel();
     }
@@ -715,7 +748,31 @@
     pending.add(new Event.Ended(r.number, f.number, how, note, r.answered, loop.now().minus(f.sent),
         f.report));
     settle(r);
-    releaseWatch.changed(r);
+    heldChanged(r);
+  }
+
+  /** All that is known of an attempt, its connection and what is held beside it. */
+  private LoggingEventBuilder describe(LoggingEventBuilder log, Req.Forward f) {
+    Req r = f.req;
+    HttpClient.ConnectionState c = f.call == null ? null : f.call.connection();
+    return log.addKeyValue("request_id", requestId(r)).addKeyValue("attempt", f.number).addKeyValue("path", f.path)
+        .addKeyValue("server", f.at == null ? null : f.at.address()).addKeyValue("sent_ms", ago(f.sentAt))
+        .addKeyValue("connection", c == null ? null : c.number()).addKeyValue("connection_age_ms", ago(c == null ? null : c.openedAt()))
+        .addKeyValue("connection_heard_ms", ago(c == null ? null : c.heardAt()))
+        .addKeyValue("server_heard_ms", ago(f.at == null ? null : servers.lastHeard(f.at.address())))
+        .addKeyValue("evidence", f.arrivedBy).addKeyValue("held", heldText(r)).addKeyValue("why", f.why);
+  }
+
+  private Object ago(Duration at) {
+    return at == null ? null : loop.now().minus(at).toMillis();
+  }
+
+  private String heldText(Req r) {
+    if (!r.mayHold()) {
+      return "nothing known";
+    }
+    String what = r.state != null ? "state" : r.place == null ? "unknown" : r.placeHeld ? "place" : "place not confirmed";
+    return what + " at " + r.heldAt().address() + " for " + loop.now().minus(heldClock.heldSince(r)).toMillis() + " ms";
   }
 
   /**
@@ -723,18 +780,24 @@
    * told that the state is gone, and may read anew.
    */
   private void releaseNow(Req r) {
-    Fleet.Server at = r.state != null ? r.state.at() : r.place != null ? r.place.at() : r.unsure.iterator().next();
+    Fleet.Server at = r.heldAt();
     trace(r, at, "released, as no attempt is known to have arrived", null);
-    LOG.atInfo().addKeyValue("request_id", requestId(r)).addKeyValue("server", at.address()).addKeyValue("state", r.stage())
-        .addKeyValue("cause", "not_arrived").log("what is held is released, as no attempt is known to have arrived");
+    List<Req.Forward> out = r.forwards.stream().filter(Req.Forward::out).toList();
+    metrics.earlyRelease(out.isEmpty() ? "none" : out.get(0).path.name().toLowerCase(Locale.ROOT));
+    if (out.isEmpty()) {
+      LOG.atWarn().addKeyValue("request_id", requestId(r)).addKeyValue("held", heldText(r)).log("released early, with no attempt out");
+    } else {
+      out.forEach(f -> describe(LOG.atWarn(), f).log("released early, as no attempt is known to have arrived"));
+    }
     if (r.client.id() == null) {
       freeState(r);
       leave(r);
     } else {
+      HeldClock.Span span = heldClock.take(r, at.address(), r.knownToHold());
       r.state = null;
       r.place = null;
       r.unsure.clear();
-      held.free(at.address(), r.client.id(), true);
+      held.free(at.address(), r.client.id(), true, span);
     }
     for (Req.Forward f : r.forwards) {
       if (f.out()) {
@@ -742,6 +805,7 @@
         end(f, sent ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION, 1, "not known to have arrived");
       }
     }
+    heldChanged(r);
   }
 
   /** A request as its client, or where the client gives no id this gateway, names it. */
@@ -780,7 +844,7 @@
   /** Something may be held, as far as can be told; where the req's id frees all, not before the last forward has ended. */
   private void unsure(Req r, Fleet.Server at, String id) {
     if (r.client.id() == null) {
-      held.freeLater(at.address(), id, false, false);
+      held.freeLater(at.address(), id, false, heldClock.start(id, at.address(), loop.now(), false));
     } else {
       r.unsure.add(at);
     }
@@ -801,7 +865,8 @@
     traceReservation(r, s, "reservation is asked for");
     Req.Place p = new Req.Place(s, r.client.id() != null ? r.client.id() : r.name + "-p" + r.forwards.size());
     r.place = p;
-    releaseWatch.changed(r);
+    r.placeHeld = false;
+    heldChanged(r);
     servers.hold(s.address(), p.id(), r.client, terms.releaseWithin(), new Servers.Holding() {
       @Override
       public boolean wanted() {
@@ -818,19 +883,22 @@
   private void held(Req r, Req.Place p, boolean well, boolean sure) {
     boolean wanted = r.place == p;
     traceReservation(r, p.at(), well ? "reservation is held" : sure ? "reservation is not held" : "reservation may be held");
-    if (wanted && !well) {
+    if (wanted && well) {
+      r.placeHeld = true;
+    } else if (wanted) {
       r.place = null;
     }
     if (!sure) {
       unsure(r, p.at(), p.id());                             // the answer may be lost and the place held
     } else if (well && !wanted && r.client.id() == null) {
-      held.free(p.at().address(), p.id(), false);                   // given up, or its stream begun, before it was held
+      held.free(p.at().address(), p.id(), false, heldClock.start(p.id(), p.at().address(), loop.now(), true)); // given up, or its stream begun, before it was held
     } else if (well && !wanted) {
       unsure(r, p.at(), p.id());
     }
     if (r.client.id() != null && r.answered) {
       drop(r);
     }
+    heldChanged(r);
     watcher.accept(r.stage().name(), well ? "place held" : "place refused");
   }
 
@@ -838,7 +906,7 @@
   private void leave(Req r) {
     if (r.place != null) {
       if (r.client.id() == null) {
-        held.free(r.place.at().address(), r.place.id(), false);
+        held.free(r.place.at().address(), r.place.id(), false, heldClock.take(r, r.place.at().address(), r.placeHeld));
       } else {
         r.unsure.add(r.place.at());
       }
@@ -849,7 +917,7 @@
   private void freeState(Req r) {
     if (r.state != null) {
       if (r.client.id() == null) {
-        held.free(r.state.at().address(), r.state.id(), false);
+        held.free(r.state.at().address(), r.state.id(), false, heldClock.take(r, r.state.at().address(), true));
       } else {
         r.unsure.add(r.state.at());
       }
@@ -861,13 +929,15 @@
   private void drop(Req r) {
     if (r.client.id() != null) {                              // one call frees all, so not while a forward needs some of it
       if (!r.anyOut()) {
-        boolean known = r.state != null;
+        boolean known = r.knownToHold();
         leave(r);
         freeState(r);
         if (!r.unsure.isEmpty()) {
-          held.freeLater(r.unsure.iterator().next().address(), r.client.id(), true, known);
+          InetSocketAddress at = r.heldAt().address();
+          held.freeLater(at, r.client.id(), true, heldClock.take(r, at, known));
           r.unsure.clear();
         }
+        heldChanged(r);
       }
       return;
     }
--- a/src/main/java/gapproxy/gateway/Held.java
+++ b/src/main/java/gapproxy/gateway/Held.java
@@ -22,14 +22,12 @@
   private final Loop loop;
   private final Duration within, each;
   private final Metrics metrics;
-  private final SendGuard guard;
   private int freeing;
 
   /** @param others servers that would free as well what is known by its req alone, by what a cut would take away together */
   Held(Servers servers, Loop loop, Duration within, Function<InetSocketAddress, List<List<InetSocketAddress>>> others,
-      Metrics metrics, SendGuard guard) {
+      Metrics metrics) {
     this.metrics = metrics;
-    this.guard = guard;
     this.servers = servers;
     this.others = others;
     this.loop = loop;
@@ -38,12 +36,13 @@
   }
 
   /**
-   * Frees what is known to be held.
+   * Frees what is held.
    *
    * @param anywhere whether every server frees it
+   * @param span since when it is held; over with the acknowledgement
    */
-  void free(InetSocketAddress at, String id, boolean anywhere) {
-    new Freeing(at, id, false, anywhere, true).next();
+  void free(InetSocketAddress at, String id, boolean anywhere, HeldClock.Span span) {
+    new Freeing(at, id, false, anywhere, span).next();
   }
 
   /**
@@ -51,10 +50,10 @@
    * news of its closed connection: where nothing was held yet it is asked once more.
    *
    * @param anywhere whether every server frees it, so that one that can't be reached does not keep it held
-   * @param known whether something of it is known to be held
+   * @param span since when it is held; over with the acknowledgement
    */
-  void freeLater(InetSocketAddress at, String id, boolean anywhere, boolean known) {
-    new Freeing(at, id, true, anywhere, known).next();
+  void freeLater(InetSocketAddress at, String id, boolean anywhere, HeldClock.Span span) {
+    new Freeing(at, id, true, anywhere, span).next();
   }
 
   /**
@@ -67,16 +66,15 @@
     private final InetSocketAddress at;
     private final String id;
     private final boolean anywhere;
-    private final Duration since = loop.now();
-    private final boolean known;                              // that something is held, and not only that it may be
+    private final HeldClock.Span span;
     private boolean unsure, over;
     private int calls;
 
-    Freeing(InetSocketAddress at, String id, boolean unsure, boolean anywhere, boolean known) {
+    Freeing(InetSocketAddress at, String id, boolean unsure, boolean anywhere, HeldClock.Span span) {
       this.at = at;
       this.id = id;
       this.unsure = unsure;
-      this.known = known;
+      this.span = span;
       this.anywhere = anywhere;
       freeing++;
     }
@@ -88,10 +86,14 @@
       calls++;
       boolean early = calls <= TRIES;
       if (calls == TRIES + 1) {
-        LOG.atDebug().addKeyValue("engine", at).addKeyValue("id", id).log("not freed yet");
+        metrics.releaseLate();
+        LOG.atWarn().addKeyValue("request_id", id).addKeyValue("held_at", at)
+            .addKeyValue("held_ms", loop.now().minus(span.since).toMillis()).addKeyValue("known", span.known).addKeyValue("calls", TRIES)
+            .log("release is not acknowledged in time");
         freeing--;                                            // a stop does not wait for it any longer
       } else if (calls > TRIES + LATER) {
         over = true;
+        span.over();
         LOG.atWarn().addKeyValue("engine", at).addKeyValue("id", id).log("could not free what is held");
         return;
       }
@@ -107,9 +109,7 @@
           return;
         } else if (well && (any || !unsure)) {
           over = true;
-          if (known) {
-            guard.released(id, at, loop.now().minus(since));
-          }
+          span.over();
           freeing -= calls <= TRIES ? 1 : 0;
         } else {
           unsure &= !well;
--- a/src/main/java/gapproxy/gateway/ReleaseWatch.java
+++ b/src/main/java/gapproxy/gateway/ReleaseWatch.java
@@ -79,7 +79,10 @@
       return false;
     }
     Duration heard = f.sentAt == null ? null : servers.lastHeard(f.at.address());
-    return f.begun || f.arrived || heard != null && heard.compareTo(f.sentAt) > 0;
+    if (f.arrivedBy == null && heard != null && heard.compareTo(f.sentAt) > 0) {
+      f.arrivedBy = ArrivalEvidence.SERVER_ANSWERED;
+    }
+    return f.arrivedBy != null;
   }
 
   private void ask(Req r) {
@@ -99,7 +102,7 @@
           .addKeyValue("role", f.at.role()).addKeyValue("answers", answers).addKeyValue("ms", loop.now().minus(asked).toMillis())
           .log("a quiet server was asked whether it answers");
       if (answers && f.out()) {
-        f.arrived = true;
+        f.arrivedBy = f.arrivedBy == null ? ArrivalEvidence.SERVER_ANSWERED : f.arrivedBy;
         changed(f.req);
       }
     });
--- a/src/main/java/gapproxy/gateway/Req.java
+++ b/src/main/java/gapproxy/gateway/Req.java
@@ -28,7 +28,7 @@
     final List<Object> early = new ArrayList<>();             // pieces that came before its first token
     Duration until;                                           // the end of the time that its server is told
     Duration sentAt;                                          // when its last byte was handed to the system, or null
-    boolean arrived;                                          // its server has answered something since
+    ArrivalEvidence arrivedBy;                                // what shows that it has come to its server, or null
     boolean begun;
     boolean waits;                                            // for the end of the turn, to be written
     double[] report = new double[0];                          // that came with its answer
@@ -70,6 +70,8 @@
   Duration goneAt;                                            // when its client closed, or null
   Duration uncoveredSince;                                    // held with no attempt known to have arrived, or null
   Loop.Timer releaseCheck;
+  HeldClock.Span heldSpan;                                    // the guard's own clock of the same, or null
+  boolean placeHeld;                                          // its server has said so
   boolean answered;
   boolean paused;
   Duration firstToken, readEnd, lastChunk;
@@ -88,6 +90,16 @@
     return state != null || place != null || !unsure.isEmpty();
   }
 
+  /** Whether it is known that something is held for it, by a server's own word. */
+  boolean knownToHold() {
+    return state != null || place != null && placeHeld;
+  }
+
+  /** A server that holds something for it, or may; only where one does. */
+  Fleet.Server heldAt() {
+    return state != null ? state.at() : place != null ? place.at() : unsure.iterator().next();
+  }
+
   boolean anyOut() {
     return forwards.stream().anyMatch(Forward::out);
   }
--- a/src/main/java/gapproxy/gateway/SendGuard.java
+++ b/src/main/java/gapproxy/gateway/SendGuard.java
@@ -41,13 +41,11 @@
   private static final Duration HELD_UP = Duration.ofMillis(150); // a process may be, between a check and the write
   private static final Duration AFTER_CLOSE = Duration.ofMillis(100); // within it an attempt may still have begun
   private static final Duration ANSWER_LATE = Duration.ofMillis(500); // past a request's time its answer is lost
-  private static final Duration RELEASE_SLACK = Duration.ofMillis(300);
   private static final Duration BETWEEN_DUMPS = Duration.ofSeconds(1);
 
   private final Loop loop;
   private final Fleet fleet;
   private final List<EndpointGroup> groups;
-  private final Duration releaseWithin;
   private final Metrics metrics;
   private final EventRing ring;
   private Duration dumped;
@@ -56,7 +54,6 @@
     this.loop = loop;
     this.fleet = fleet;
     this.groups = terms.settings().groups();
-    this.releaseWithin = terms.releaseWithin();
     this.metrics = metrics;
     this.ring = ring;
   }
@@ -119,11 +116,9 @@
     }
   }
 
-  /** Something that was held has been released, or was found to be. */
-  void released(String requestId, Object at, Duration heldFor) {
-    if (heldFor.compareTo(releaseWithin.plus(RELEASE_SLACK)) > 0) {
-      violation(Rule.HELD_TOO_LONG, requestId, at, "released " + heldFor.toMillis() + " ms after its last attempt");
-    }
+  /** Something was held past the release time, as its clock says. */
+  void heldTooLong(HeldClock.Span span, Duration held) {
+    violation(Rule.HELD_TOO_LONG, span.requestId, span.server, "held " + held.toMillis() + " ms with no attempt known to have arrived");
   }
 
   /** Whether no earlier attempt forbids this one: an effect may happen once, or within a server's scope and window for repeats. */
--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -229,6 +229,15 @@
     });
   }
 
+  /**
+   * The connection of a call, for logs.
+   *
+   * @param number its own, in the order in which connections came up
+   * @param openedAt on the loop's clock
+   * @param heardAt when something last came on it, which at first is when it came up
+   */
+  public record ConnectionState(long number, Duration openedAt, Duration heardAt) {}
+
   /** One request on its way. */
   public final class Call {
     private final InetSocketAddress to;
@@ -270,6 +279,9 @@
           WIRE.set(c, w);
           loop.execute(() -> {
             opened++;
+            w.number = opened;
+            w.openedAt = loop.now();
+            w.heardAt = w.openedAt;
             giveUp = null;
             w.counted = true;
             if (w.gone) {
@@ -349,6 +361,11 @@
       }
     }
 
+    /** The connection that it was sent on, or null. */
+    public ConnectionState connection() {
+      return wire == null ? null : new ConnectionState(wire.number, wire.openedAt, wire.heardAt);
+    }
+
     /** Whether the response may come in for now. */
     public void reading(boolean on) {
       if (wire != null && !over) {
@@ -388,6 +405,8 @@
     boolean written;                                          // all of the call's request
     boolean counted, gone, answered;
     Duration since;                                           // when it began to rest, null for a new one
+    long number;
+    Duration openedAt, heardAt;
 
     Wire(InetSocketAddress to, Connection<?> connection) {
       this.to = to;
@@ -551,6 +570,7 @@
       loop.execute(() -> {
         Call c = w.call;
         heard.put(w.to, loop.now());
+        w.heardAt = loop.now();
         if (c == null) {
           w.connection.closeSilently();                       // nothing was asked: no use is safe any longer
           return;
--- a/src/main/java/gapproxy/platform/PlatformNode.java
+++ b/src/main/java/gapproxy/platform/PlatformNode.java
@@ -181,6 +181,11 @@
     }
   }
 
+  /** Writes the counters and the last events to the log. */
+  public void report() {
+    loop.execute(gateway::report);
+  }
+
   /** Lets the reqs in hand end, then runs what is given. */
   public void stop(Runnable then) {
     loop.execute(() -> gateway.stop(then));
--- a/src/main/java/gapproxy/soak/SoakSite.java
+++ b/src/main/java/gapproxy/soak/SoakSite.java
@@ -48,7 +48,8 @@
   private final List<Discovery> discoveries = new ArrayList<>();
   private final Map<String, Integer> readsOut = new HashMap<>();
   private final Set<String> readOnce = new HashSet<>();
-  private final Map<String, Integer> writesWaiting = new HashMap<>();
+  private final Map<String, Exchange> writesWaiting = new HashMap<>();
+  private final Set<String> releasedAtTheirEnd = new HashSet<>(); // by the end of a write that waits
   private final boolean releaseSparesWaiting;
   private int sequence = 1;
 
@@ -139,8 +140,11 @@
 
     private void lease(Exchange x, int gateway, String id) {
       if (x.request.method().equals("DELETE")) {
-        boolean spared = releaseSparesWaiting && writesWaiting.containsKey(id);
-        if (!plants.contains(Plant.RELEASE_IGNORED) && !spared) {
+        Exchange waiting = writesWaiting.get(id);
+        boolean spared = releaseSparesWaiting && waiting != null && waiting.open();
+        if (spared) {
+          releasedAtTheirEnd.add(id);
+        } else if (!plants.contains(Plant.RELEASE_IGNORED)) {
           models.forEach(m -> m.release(id, false));
         }
         x.respond(204, JSON, NONE);
@@ -215,12 +219,16 @@
         fetch(x, id, mine);
         return;
       }
-      writesWaiting.merge(id, 1, Integer::sum);
+      writesWaiting.put(id, x);
       loop.after(Duration.ofMillis(chance.nextInt(SLOWEST_WRITE_MS)), () -> {
-        writesWaiting.merge(id, -1, (a, b) -> a + b == 0 ? null : a + b);
+        writesWaiting.remove(id, x);
+        boolean release = releasedAtTheirEnd.remove(id);
         if (x.open() && life == mine) {
           fetch(x, id, mine);
         } else {
+          if (release) {
+            models.forEach(m -> m.release(id, false));
+          }
           judge.audit.ended(loop.now(), number, id);
           x.cut();
         }
@@ -249,6 +257,9 @@
         judge.audit.ended(loop.now(), number, id);
         x.cut();
       } else if (n < EVENTS) {
+        if (n == 0) {
+          models.forEach(m -> m.release(id, true));           // the first event releases what was held meanwhile
+        }
         Duration written = loop.now().minus(plants.contains(Plant.OLD_EVENTS) ? OLD : Duration.ZERO);
         x.write("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"w\"},\"finish_reason\":null}],\"at\":"
             + written.toNanos() / 1000 + "}\n\n");
--- a/src/main/java/gapproxy/trace/Metrics.java
+++ b/src/main/java/gapproxy/trace/Metrics.java
@@ -17,6 +17,10 @@
   private final Counter attempts = counter("gapproxy_attempts_total", "Attempts at model servers that have ended.", "path", "outcome");
   private final Counter answers = counter("gapproxy_requests_total", "Requests that have got their final answer.", "end");
   private final Counter releases = counter("gapproxy_releases_total", "Calls that release what is held.", "result");
+  private final Counter earlyReleases = counter("gapproxy_early_releases_total",
+      "Releases of what was held for an attempt that is not known to have arrived.", "path");
+  private final Counter lateReleases = counter("gapproxy_late_releases_total", "Releases that were not acknowledged in time.");
+  private final Counter silences = counter("gapproxy_attempts_silent_total", "Attempts that were ended as nothing came back.", "path", "evidence");
   private final Counter lists = counter("gapproxy_lists_total", "Lists of model servers that were applied or failed.", "form");
   private final Counter faults = counter("gapproxy_faults_total", "Faults of the gateway itself that it went on after.", "kind");
 
@@ -63,6 +67,25 @@
     releases.labelValues(acknowledged ? "acknowledged" : "failed").inc();
   }
 
+  /** What was held for an attempt on a path was released, as nothing shows that the attempt has arrived. */
+  public void earlyRelease(String path) {
+    earlyReleases.labelValues(path).inc();
+  }
+
+  /** A release was not acknowledged in time. */
+  public void releaseLate() {
+    lateReleases.inc();
+  }
+
+  /**
+   * An attempt was ended as nothing came back.
+   *
+   * @param evidence what had shown that it arrived, or null
+   */
+  public void silence(Enum<?> path, Enum<?> evidence) {
+    silences.labelValues(label(path), evidence == null ? "none" : label(evidence)).inc();
+  }
+
   /** A list was applied, or can't be had. */
   public void list(Enum<?> form) {
     lists.labelValues(label(form)).inc();
--- a/src/test/java/gapproxy/gateway/HeldTest.java
+++ b/src/test/java/gapproxy/gateway/HeldTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import gapproxy.config.ConfigReader;
 import gapproxy.engine.Verdict;
 import gapproxy.http.HttpClient;
 import gapproxy.runtime.LiveLoop;
@@ -22,12 +21,8 @@
 
   private final Metrics metrics = new Metrics();
 
-  private SendGuard guard(LiveLoop loop) throws Exception {
-    Terms terms = Terms.of(ConfigReader.parse("""
-        {"name": "g", "groups": [{"name": "m", "models": ["m"]}], "kinds": [{"name": "w", "role": "write", "memory_tokens": 1000}],
-         "list": {"file": "x"}}
-        """, "test"));
-    return new SendGuard(loop, new Fleet(terms, loop, a -> { }), terms, metrics, new EventRing(1));
+  private static HeldClock clock(LiveLoop loop) {
+    return new HeldClock(loop, WITHIN, new EventRing(8), (span, held) -> { });
   }
 
   private static InetSocketAddress at(int port) {
@@ -88,8 +83,8 @@
   void aCutThatTakesTheOnesHeardLastDoesNotKeepItHeld() throws Exception {
     LiveLoop loop = new LiveLoop("held");
     Cut cut = new Cut();
-    Held held = new Held(cut, loop, WITHIN, than -> List.of(List.of(at(9), at(8), at(7)), List.of(at(6), at(2))), metrics, guard(loop));
-    loop.execute(() -> held.freeLater(at(1), "x", true, true));
+    Held held = new Held(cut, loop, WITHIN, than -> List.of(List.of(at(9), at(8), at(7)), List.of(at(6), at(2))), metrics);
+    loop.execute(() -> held.freeLater(at(1), "x", true, clock(loop).start("x", at(1), loop.now(), true)));
     boolean inTime = cut.reached.await(WITHIN.toMillis(), TimeUnit.MILLISECONDS);
     List<Integer> asked = new ArrayList<>();
     loop.call(() -> asked.addAll(cut.asked));
@@ -103,8 +98,8 @@
     LiveLoop loop = new LiveLoop("held");
     Cut cut = new Cut();
     List<InetSocketAddress> others = List.of(at(2), at(3), at(4), at(5), at(6));
-    Held held = new Held(cut, loop, WITHIN, than -> List.of(others), metrics, guard(loop));
-    loop.execute(() -> held.freeLater(at(1), "x", true, true));
+    Held held = new Held(cut, loop, WITHIN, than -> List.of(others), metrics);
+    loop.execute(() -> held.freeLater(at(1), "x", true, clock(loop).start("x", at(1), loop.now(), true)));
     boolean inTime = cut.reached.await(WITHIN.toMillis(), TimeUnit.MILLISECONDS);
     List<Integer> asked = new ArrayList<>();
     loop.call(() -> asked.addAll(cut.asked));
