--- a/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
+++ b/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
@@ -258,6 +258,48 @@
     assertTrue(servers.frees.contains("r"));
   }
 
+  /** Its server may hold the place after the call has come to nothing, so the release is repeated when that would be so. */
+  @Test
+  void aPlaceWhoseReservationWasNotAnsweredIsReleasedAgainThoughTheRequestIsOver() {
+    Asker a = ask();
+    servers.reads.get(0).sent();
+    turn(TURN);
+    servers.holds.get(0).answered(Servers.Reservation.UNANSWERED);
+    a.onLost.run();
+    turn(Duration.ofMillis(500));
+    servers.frees.clear();
+    turn(Duration.ofSeconds(1));
+    assertTrue(servers.frees.contains("r"));
+  }
+
+  /** A read that came to nothing may arrive after the release and leave its state. */
+  @Test
+  void aReadThatCameToNothingIsReleasedAgainThoughTheRequestIsOver() {
+    Asker a = ask();
+    servers.reads.get(0).sent();
+    a.onLost.run();
+    turn(Duration.ofMillis(500));
+    servers.frees.clear();
+    turn(Duration.ofSeconds(1));
+    assertTrue(servers.frees.contains("r"));
+  }
+
+  /** What is told of a place once the answer has begun is released at once: the stream's end may be lost. */
+  @Test
+  void aPlaceThatMayBeHeldBesideAStreamIsReleasedAtOnce() {
+    ask();
+    servers.reads.get(0).sent();
+    turn(TURN);
+    servers.reads.get(0).read("", 0, 0);
+    turn(TURN);
+    servers.writes.get(0).piece("first", true);
+    turn(TURN);
+    servers.frees.clear();
+    servers.holds.get(0).answered(Servers.Reservation.NOT_KNOWN);
+    turn(TURN);
+    assertTrue(servers.frees.contains("r"));
+  }
+
   /** A write without effect twice: its state is released in time, it is not sent again, and it gets a failed answer within its time. */
   @Test
   void aWriteThatMayNotBeSentAgainIsAnsweredAsFailed() throws Exception {
--- a/src/test/java/gapproxy/gateway/HeldTest.java
+++ b/src/test/java/gapproxy/gateway/HeldTest.java
@@ -32,6 +32,7 @@
   /** Of servers 1 to 6 the last alone is reached, and was heard last. */
   private static final class Cut implements Servers {
     private final List<Integer> asked = new ArrayList<>();
+    private final List<Boolean> onNewConnections = new ArrayList<>();
     private final CountDownLatch reached = new CountDownLatch(1);
 
     @Override
@@ -42,6 +43,7 @@
     @Override
     public void free(InetSocketAddress to, String id, Duration within, boolean newConnection, Released then) {
       asked.add(to.getPort());
+      onNewConnections.add(newConnection);
       if (to.getPort() == 6) {
         reached.countDown();
         then.then(true, true);
@@ -90,6 +92,7 @@
     loop.call(() -> asked.addAll(cut.asked));
     loop.close();
     assertEquals(List.of(1, 9, 6), asked);
+    assertEquals(List.of(false, true, false), cut.onNewConnections, "all open connections may have fallen silent at one moment");
     assertEquals(true, inTime);
   }
 
--- a/src/test/java/gapproxy/gateway/SendGuardTest.java
+++ b/src/test/java/gapproxy/gateway/SendGuardTest.java
@@ -94,6 +94,24 @@
     assertEquals(1, gateway.metrics().violations(Rule.HELD_TOO_LONG));
   }
 
+  /** A release that is never acknowledged, or never begun, is counted by the guard's own clock. */
+  @Test
+  void aReleaseThatIsNeverAcknowledged() {
+    servers.acknowledgeAfter = Duration.ofDays(1);
+    ask();
+    servers.reads.get(0).sent();
+    servers.reads.get(0).read("", 0, 0);
+    turn(TURN);
+    servers.writes.get(0).sent();
+    turn(Duration.ofMillis(1250));
+    assertEquals(0, gateway.metrics().violations(Rule.HELD_TOO_LONG));
+    turn(Duration.ofMillis(100));
+    assertEquals(1, gateway.metrics().violations(Rule.HELD_TOO_LONG));
+    assertTrue(gateway.metrics().text().contains("gapproxy_early_releases_total{path=\"write\"} 1"), gateway.metrics().text());
+    turn(Duration.ofMillis(300));
+    assertTrue(gateway.metrics().text().contains("gapproxy_late_releases_total 1"), gateway.metrics().text());
+  }
+
   /** The guard alone, as the gateway itself can't be brought to these. */
   @Test
   void aSecondFinalAnswerAndMoreTimeToldThanThereIs() throws Exception {
--- a/src/test/java/gapproxy/http/ClientCrossingsTest.java
+++ b/src/test/java/gapproxy/http/ClientCrossingsTest.java
@@ -123,6 +123,51 @@
     }
   }
 
+  private void getAnswered(CompletableFuture<Got> got, Socket s) throws Exception {
+    request(s);
+    send(s, WELL);
+    assertEquals("hello", got.get(5, TimeUnit.SECONDS).body());
+  }
+
+  /** Connections that rest since before a request that got nothing may have fallen silent with its own: none of them is used again. */
+  @Test
+  void aSilentRequestClosesTheConnectionsThatRestSinceBefore() throws Exception {
+    CompletableFuture<Got> first = ask();
+    CompletableFuture<Got> second = ask();
+    try (Socket a = accept(); Socket b = accept()) {
+      for (Socket s : List.of(a, b)) {
+        request(s);
+        send(s, WELL);
+      }
+      first.get(5, TimeUnit.SECONDS);
+      second.get(5, TimeUnit.SECONDS);
+      pause(50);                                              // both rest in the pool by now
+      HttpClient.Call[] silent = new HttpClient.Call[1];
+      loop.call(() -> silent[0] = http.call(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), "GET", "/silent",
+          Map.of(), new byte[0], Duration.ofSeconds(5), new Whole(100, (status, h, body, failure, why) -> { })));
+      pause(50);
+      loop.call(() -> silent[0].giveUpForSilence());
+      answersOnANewConnection();
+    }
+  }
+
+  /** Where every open connection may have fallen silent, a request can ask for one of its own. */
+  @Test
+  void aRequestMayAskForANewConnectionThoughOthersRest() throws Exception {
+    CompletableFuture<Got> first = ask();
+    try (Socket a = accept()) {
+      getAnswered(first, a);
+      pause(50);
+      CompletableFuture<Got> got = new CompletableFuture<>();
+      loop.execute(() -> http.whole(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), "DELETE", "/", Map.of(),
+          new byte[0], Duration.ofSeconds(5), Duration.ofSeconds(10), 1 << 20, true, () -> true,
+          (status, h, body, failure, why) -> got.complete(new Got(status, new String(body, StandardCharsets.ISO_8859_1), failure))));
+      try (Socket b = accept()) {
+        getAnswered(got, b);
+      }
+    }
+  }
+
   @Test
   void halfALineRightBehindAnAnswerEndsItsConnection() throws Exception {
     CompletableFuture<Got> first = ask();
--- /dev/null
+++ b/src/test/java/gapproxy/soak/FaultProxyTest.java
@@ -0,0 +1,126 @@
+package gapproxy.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import gapproxy.soak.FaultProxy.Hop;
+import gapproxy.soak.FaultProxy.Mode;
+import gapproxy.soak.FaultProxy.Silence;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The harness' own proxy: what it does to connections, and that it lives through what they do. */
+class FaultProxyTest {
+  private static final int SILENT_MS = 300, SOON_MS = 5_000;
+
+  private final BlockingQueue<Integer> ports = new LinkedBlockingQueue<>();
+  private ServerSocket echo;
+  private FaultProxy proxy;
+  private Hop hop;
+
+  @BeforeEach
+  void start() throws Exception {
+    echo = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    proxy = new FaultProxy(1);
+    hop = proxy.hop(new InetSocketAddress(echo.getInetAddress(), echo.getLocalPort()));
+    Thread server = new Thread(this::serve, "echo");
+    server.setDaemon(true);
+    server.start();
+  }
+
+  private void serve() {
+    try {
+      while (true) {
+        Socket s = echo.accept();
+        ports.add(s.getPort());
+        Thread one = new Thread(() -> echo(s), "echo-one");
+        one.setDaemon(true);
+        one.start();
+      }
+    } catch (IOException e) {
+      return;                                                 // the test is over
+    }
+  }
+
+  private static void echo(Socket s) {
+    try (s) {
+      s.getInputStream().transferTo(s.getOutputStream());
+    } catch (IOException e) {
+      return;                                                 // a reset
+    }
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    proxy.close();
+    echo.close();
+  }
+
+  private Socket open() throws IOException {
+    Socket s = new Socket(InetAddress.getLoopbackAddress(), hop.port());
+    s.setSoTimeout(SOON_MS);
+    return s;
+  }
+
+  private static int echoed(Socket s) throws IOException {
+    s.getOutputStream().write('x');
+    return s.getInputStream().read();
+  }
+
+  private void awaitSilence(int port, Silence wanted) throws InterruptedException {
+    for (int i = 0; i < SOON_MS && proxy.silence(port) != wanted; i++) {
+      TimeUnit.MILLISECONDS.sleep(1);
+    }
+    assertEquals(wanted, proxy.silence(port));
+  }
+
+  @Test
+  void openConnectionsFallSilentForGoodWhileNewOnesPass() throws Exception {
+    try (Socket old = open()) {
+      assertEquals('x', echoed(old));
+      int port = ports.poll(SOON_MS, TimeUnit.MILLISECONDS);
+      hop.silenceOpenConnections(1);
+      awaitSilence(port, Silence.WAITS);
+      old.setSoTimeout(SILENT_MS);
+      assertThrows(SocketTimeoutException.class, () -> echoed(old));
+      try (Socket fresh = open()) {
+        assertEquals('x', echoed(fresh));
+      }
+      old.close();
+      awaitSilence(port, Silence.GAVE_UP);
+    }
+    assertNull(proxy.death());
+  }
+
+  @Test
+  void itLivesThroughConnectionsThatEndInEveryMode() throws Exception {
+    for (Mode mode : Mode.values()) {
+      for (int i = 0; i < 20; i++) {
+        try (Socket s = open()) {
+          s.getOutputStream().write('x');
+          hop.mode(mode);
+          s.setSoLinger(true, 0);
+        } catch (IOException e) {
+          continue;                                           // reset by the mode
+        }
+      }
+      TimeUnit.MILLISECONDS.sleep(100);
+      hop.mode(Mode.PASS);
+    }
+    try (Socket s = open()) {
+      assertEquals('x', echoed(s));
+    }
+    assertNull(proxy.death());
+  }
+}
