A test that shows the repeated release of a place apart from its read's

Need: with the repeated release of places taken out, its test stayed green, since the read's own repeated it. Change: the test's read is turned away, so that the place alone is released again.

--- a/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
+++ b/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
@@ -264,8 +264,11 @@
     Asker a = ask();
     servers.reads.get(0).sent();
     turn(TURN);
-    servers.holds.get(0).answered(Servers.Reservation.UNANSWERED);
+    servers.reads.get(0).report(new double[0]);
     a.onLost.run();
+    servers.reads.get(0).failed(new Verdict(Verdict.Kind.FULL, 503, new byte[0], "turned away"));
+    turn(TURN);
+    servers.holds.get(0).answered(Servers.Reservation.UNANSWERED);
     turn(Duration.ofMillis(500));
     servers.frees.clear();
     turn(Duration.ofSeconds(1));
