A process that stood still for a request's whole time answers it by its decisions

Change: at a request's limit its attempts that have not begun end, and the decisions answer. The soak says what was held longest. Measured: GatewayCrossingsTest 32 (the new one red before), SimTest, SendGuardTest passed.

--- a/src/main/java/gapproxy/audit/Audit.java
+++ b/src/main/java/gapproxy/audit/Audit.java
@@ -87,6 +87,7 @@
   private final Map<String, Map<Long, Instant>> knows = new HashMap<>(); // by gateway: starts that it was told
   private long taken;
   private Duration longestHeld = Duration.ZERO;
+  private String longestHeldBy = "none";
 
   public Audit(Figures figures) {
     this.figures = figures;
@@ -333,6 +334,7 @@
     Duration held = at.minus(h.idle);
     if (held.compareTo(longestHeld) > 0) {
       longestHeld = held;
+      longestHeldBy = id + " at " + h.engine + " until " + at.toMillis() + " ms";
     }
     if (held.compareTo(figures.release.plus(slack(h.gateway))) > 0) {
       broken(5, at, id + " at " + h.engine + " was held " + held.toMillis() + " ms with no forward out");
@@ -379,7 +381,7 @@
     });
     holds.forEach((id, h) -> judge(at, h, id));
     long open = tries.values().stream().filter(t -> !t.over).count();
-    return new Report(taken, Map.copyOf(new java.util.TreeMap<>(ends)), open, longestHeld.toMillis(), List.copyOf(broken),
+    return new Report(taken, Map.copyOf(new java.util.TreeMap<>(ends)), open, longestHeld.toMillis(), longestHeldBy, List.copyOf(broken),
         count.clone());
   }
 
@@ -388,9 +390,10 @@
    *
    * @param ends how reqs ended, as their clients saw it
    * @param open tries without an end when the run was over
+   * @param longestHeldBy the state or place that was held longest, and when that was over
    * @param counts broken rules by number, 1 to 5
    */
-  public record Report(long taken, Map<String, Long> ends, long open, long longestHeldMs, List<Broken> broken,
+  public record Report(long taken, Map<String, Long> ends, long open, long longestHeldMs, String longestHeldBy, List<Broken> broken,
       int[] counts) {
     public boolean kept() {
       return broken.isEmpty();
--- a/src/main/java/gapproxy/cli/SoakCommand.java
+++ b/src/main/java/gapproxy/cli/SoakCommand.java
@@ -66,9 +66,9 @@
         System.out.printf("seed %d: NO VERDICT, %s%n", p.seed(), r.harnessFault());
         return r;
       }
-      System.out.printf("seed %d: %s; asked %d %s; streams %d, late %d, late under trouble %d; longest held %d ms; injected %d, by the shim %d; harness late by up to %d ms; killed while stopping %d%n",
+      System.out.printf("seed %d: %s; asked %d %s; streams %d, late %d, late under trouble %d; longest held %d ms (%s); injected %d, by the shim %d; harness late by up to %d ms; killed while stopping %d%n",
           p.seed(), r.good() ? "nothing found" : "FOUND", r.asked(), r.ends(), r.verdict().streams(), r.verdict().late(), r.verdict().excused(),
-          r.verdict().report().longestHeldMs(), r.injected(), r.byShim(), r.latenessMs(), r.killedWhileStopping());
+          r.verdict().report().longestHeldMs(), r.verdict().report().longestHeldBy(), r.injected(), r.byShim(), r.latenessMs(), r.killedWhileStopping());
       r.broken().forEach(b -> System.out.println("  by the traffic: " + b));
       r.unconfirmed().stream().limit(20).forEach(c -> System.out.println("  not confirmed: " + c));
       r.counted().stream().limit(20).forEach(c -> System.out.println("  by a gateway:   " + c));
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -854,7 +854,9 @@
 
   /** Guards against a req that the decisions left without an answer: that is a fault of ours, and is logged as one. */
   private void overdue(Req r) {
-    decide();                                                 // the time-out of its forward may be due in this same turn
+    // A process that stood still sets time-outs that are past already, and they come behind this one.
+    r.forwards.stream().filter(f -> f.out() && !f.begun).toList().forEach(f -> end(f, Outcome.TIMED_OUT, 0, "the request's time is over"));
+    decide();
     if (!r.answered && r.begun != null) {                     // an answer asked for whole that did not get whole in time
       broken(r.begun, Outcome.TIMED_OUT, "the answer was not whole within the budget");
     } else if (!r.answered) {
--- a/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
+++ b/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
@@ -248,6 +248,24 @@
     assertEquals(1, servers.writes.size());
   }
 
+  /**
+   * Symptom: the log said "no final answer in time" of the first request of a process that had just started. Sequence: the process stands
+   * still for longer than the request has, between its decision and its attempt. Cause: the attempt's time-out, already past as it is
+   * set, came behind the request's own in the loop.
+   */
+  @Test
+  void aProcessThatStoodStillForARequestsWholeTimeStillAnswersIt() {
+    servers.onRead = () -> {
+      servers.onRead = () -> { };
+      loop.skip(Duration.ofMillis(500));
+    };
+    List<Asker> askers = List.of(new Asker("r", Duration.ofMillis(400)), new Asker("s", Duration.ofMillis(400)));
+    askers.forEach(door.taker::take);
+    turn(Duration.ofMillis(700));
+    assertEquals(0, gateway.mishaps());
+    askers.forEach(a -> assertEquals(1, a.answers.size(), a.id + " " + a.answers));
+  }
+
   /** "Not known" while the read has no answer: it did not arrive, and the place may be held all the same. It is read elsewhere. */
   @Test
   void aPlaceThatMayBeHeldIsReleasedAtOnceWhereItsReadIsNotKnown() {
--- a/src/test/java/gapproxy/gateway/GatewayHarness.java
+++ b/src/test/java/gapproxy/gateway/GatewayHarness.java
@@ -158,11 +158,13 @@
     final List<Holding> holds = new ArrayList<>();
     final List<Integer> holdsAt = new ArrayList<>();
     final List<String> frees = new ArrayList<>();
+    Runnable onRead = () -> { };
     boolean silent;                                           // probes get no answer
 
     @Override
     public HttpClient.Call read(InetSocketAddress to, String id, Client of, Duration within, Reading then) {
       reads.add(then);
+      onRead.run();
       return call();
     }
 
