--- a/src/main/java/gapproxy/gateway/HeldClock.java
+++ b/src/main/java/gapproxy/gateway/HeldClock.java
@@ -9,7 +9,7 @@
 
 /**
  * Times how long a state or place is held for a request while nothing shows that one of its attempts has arrived, up to the
- * acknowledgement of its release. It doubts {@link ReleaseWatch} and {@link Held} on purpose: it starts its spans by itself and takes
+ * acknowledgement of its release. It doubts {@link ReleaseWatch} and {@link Releases} on purpose: it starts its spans by itself and takes
  * nobody's word for an end but a server's.
  *
  * <p>Belongs to the gateway's loop.
--- a/src/main/java/gapproxy/gateway/HeldState.java
+++ b/src/main/java/gapproxy/gateway/HeldState.java
@@ -34,7 +34,7 @@
   private final Metrics metrics;
   private final AttemptLog log;
   private final Ending ending;
-  private final Held releases;
+  private final Releases releases;
   private final HeldClock clock;
   private final ReleaseWatch watch;
 
@@ -47,14 +47,14 @@
     this.log = log;
     this.ending = ending;
     clock = new HeldClock(loop, terms.releaseWithin(), ring, guard::heldTooLong);
-    releases = new Held(servers, loop, terms.releaseWithin(), fleet::others, metrics);
+    releases = new Releases(servers, loop, terms.releaseWithin(), fleet::others, metrics);
     watch = new ReleaseWatch(loop, servers, terms.releaseWithin(),
         r -> terms.settings().groups().get(r.ask.group()).repeat() != Settings.Repeat.NON_REPLAYABLE, this);
   }
 
   /** Releases that are on their way. */
   int releasing() {
-    return releases.freeing();
+    return releases.underWay();
   }
 
   /** Something may be held for a request now, or no longer, or one of its attempts has begun, was heard of or has ended. */
@@ -138,7 +138,7 @@
   private void heldForNothing(Req r, Req.Place place) {
     if (r.client.id() == null) {
       InetSocketAddress at = place.at().address();
-      releases.free(at, place.id(), false, clock.start(place.id(), at, loop.now(), true));
+      releases.release(at, place.id(), false, clock.start(place.id(), at, loop.now(), true));
     } else {
       mayHold(r, place.at(), place.id());
     }
@@ -153,7 +153,7 @@
   /** Something may be held, as far as can be told; where the request's id releases all, not before the last attempt has ended. */
   private void unsure(Req r, Fleet.Server at, String id) {
     if (r.client.id() == null) {
-      releases.freeLater(at.address(), id, false, clock.start(id, at.address(), loop.now(), false));
+      releases.releaseDoubted(at.address(), id, false, clock.start(id, at.address(), loop.now(), false));
     } else {
       r.unsure.add(at);
     }
@@ -189,7 +189,7 @@
   private void releaseBesideStream(Req r) {
     if (r.client.id() != null && !r.unsure.isEmpty()) {
       InetSocketAddress at = r.heldAt().address();
-      releases.free(at, r.client.id(), true, clock.take(r, at, false));
+      releases.release(at, r.client.id(), true, clock.take(r, at, false));
     }
   }
 
@@ -198,7 +198,7 @@
     if (r.place != null) {
       if (r.client.id() == null) {
         InetSocketAddress at = r.place.at().address();
-        releases.free(at, r.place.id(), false, clock.take(r, at, r.placeHeld));
+        releases.release(at, r.place.id(), false, clock.take(r, at, r.placeHeld));
       } else {
         r.unsure.add(r.place.at());
       }
@@ -212,7 +212,7 @@
     if (r.state != null) {
       if (r.client.id() == null) {
         InetSocketAddress at = r.state.at().address();
-        releases.free(at, r.state.id(), false, clock.take(r, at, true));
+        releases.release(at, r.state.id(), false, clock.take(r, at, true));
       } else {
         r.unsure.add(r.state.at());
       }
@@ -231,7 +231,7 @@
       giveUpState(r);
       if (!r.unsure.isEmpty()) {
         InetSocketAddress at = r.heldAt().address();
-        releases.freeLater(at, r.client.id(), true, clock.take(r, at, known));
+        releases.releaseDoubted(at, r.client.id(), true, clock.take(r, at, known));
         r.unsure.clear();
       }
       changed(r);
@@ -268,7 +268,7 @@
       r.state = null;
       r.place = null;
       r.unsure.clear();
-      releases.free(at, r.client.id(), true, span);
+      releases.release(at, r.client.id(), true, span);
     }
     List<Req.Forward> unsent = r.forwards.stream().filter(f -> f.out() && f.path == Action.Path.WRITE && f.sentAt == null).toList();
     unsent.forEach(f -> ending.end(f, Outcome.NO_CONNECTION, 1, "its state was released before it had a connection"));
--- a/src/main/java/gapproxy/gateway/Held.java
+++ b/src/main/java/gapproxy/gateway/Releases.java
@@ -10,22 +10,21 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Frees states and places at engines, and tries again, first at once, then for half a minute
- * more, by when engines have surely forgotten by themselves. Guards against a call lost on the way:
- * what stays pinned takes memory from every other req of that engine.
+ * Calls that release states and places at servers. Each is repeated, first at once, then for half a minute more, by when servers have
+ * forgotten by themselves: what stays held takes memory from every other request of that server.
  */
-final class Held {
-  private static final Logger LOG = LoggerFactory.getLogger(Held.class);
+final class Releases {
+  private static final Logger LOG = LoggerFactory.getLogger(Releases.class);
   private static final int TRIES = 4, LATER = 75;
   private final Servers servers;
   private final Function<InetSocketAddress, List<List<InetSocketAddress>>> others;
   private final Loop loop;
   private final Duration within, each;
   private final Metrics metrics;
-  private int freeing;
+  private int underWay;
 
-  /** @param others servers that would free as well what is known by its req alone, by what a cut would take away together */
-  Held(Servers servers, Loop loop, Duration within, Function<InetSocketAddress, List<List<InetSocketAddress>>> others,
+  /** @param others servers that would release as well what is known by its req alone, by what a cut would take away together */
+  Releases(Servers servers, Loop loop, Duration within, Function<InetSocketAddress, List<List<InetSocketAddress>>> others,
       Metrics metrics) {
     this.metrics = metrics;
     this.servers = servers;
@@ -36,34 +35,34 @@
   }
 
   /**
-   * Frees what is held.
+   * Releases what is held.
    *
-   * @param anywhere whether every server frees it
+   * @param anywhere whether every server releases it
    * @param span since when it is held; over with the acknowledgement
    */
-  void free(InetSocketAddress at, String id, boolean anywhere, HeldClock.Span span) {
-    new Freeing(at, id, false, anywhere, span).next();
+  void release(InetSocketAddress at, String id, boolean anywhere, HeldClock.Span span) {
+    new Release(at, id, false, anywhere, span).next();
   }
 
   /**
    * Frees what a read that was ended early may leave behind. Guards against the read that ends between this call and the
    * news of its closed connection: where nothing was held yet it is asked once more.
    *
-   * @param anywhere whether every server frees it, so that one that can't be reached does not keep it held
+   * @param anywhere whether every server releases it, so that one that can't be reached does not keep it held
    * @param span since when it is held; over with the acknowledgement
    */
-  void freeLater(InetSocketAddress at, String id, boolean anywhere, HeldClock.Span span) {
-    new Freeing(at, id, true, anywhere, span).next();
+  void releaseDoubted(InetSocketAddress at, String id, boolean anywhere, HeldClock.Span span) {
+    new Release(at, id, true, anywhere, span).next();
   }
 
   /**
-   * One state or place that is to be freed. The first calls overlap and each may take the whole release time: an engine that is slow to
+   * One state or place that is to be released. The first calls overlap and each may take the whole release time: an engine that is slow to
    * open connections would else see only calls given up too early. Later ones follow one another until the engine hears again.
    * Every second call opens a connection: all that are open may have fallen silent at one moment, while new ones pass.
    * Of other servers those are asked first that were heard lately, of each zone in turn: a cut takes many away at once, and the
    * state's own is one of them.
    */
-  private final class Freeing {
+  private final class Release {
     private final InetSocketAddress at;
     private final String id;
     private final boolean anywhere;
@@ -71,13 +70,13 @@
     private boolean unsure, over;
     private int calls;
 
-    Freeing(InetSocketAddress at, String id, boolean unsure, boolean anywhere, HeldClock.Span span) {
+    Release(InetSocketAddress at, String id, boolean unsure, boolean anywhere, HeldClock.Span span) {
       this.at = at;
       this.id = id;
       this.unsure = unsure;
       this.span = span;
       this.anywhere = anywhere;
-      freeing++;
+      underWay++;
     }
 
     void next() {
@@ -91,7 +90,7 @@
         LOG.atWarn().addKeyValue("request_id", id).addKeyValue("held_at", at)
             .addKeyValue("held_ms", loop.now().minus(span.since).toMillis()).addKeyValue("known", span.known).addKeyValue("calls", TRIES)
             .log("release is not acknowledged in time");
-        freeing--;                                            // a stop does not wait for it any longer
+        underWay--;                                            // a stop does not wait for it any longer
       } else if (calls > TRIES + LATER) {
         over = true;
         span.over();
@@ -111,7 +110,7 @@
         } else if (well && (any || !unsure)) {
           over = true;
           span.over();
-          freeing -= calls <= TRIES ? 1 : 0;
+          underWay -= calls <= TRIES ? 1 : 0;
         } else {
           unsure &= !well;
           if (!early) {
@@ -137,7 +136,7 @@
   }
 
   /** Calls that are on their way. */
-  int freeing() {
-    return freeing;
+  int underWay() {
+    return underWay;
   }
 }
--- a/src/test/java/gapproxy/gateway/HeldTest.java
+++ b/src/test/java/gapproxy/gateway/ReleasesTest.java
@@ -16,7 +16,7 @@
 import java.util.function.BiConsumer;
 import org.junit.jupiter.api.Test;
 
-class HeldTest {
+class ReleasesTest {
   private static final Duration WITHIN = Duration.ofMillis(200);
 
   private final Metrics metrics = new Metrics();
@@ -85,8 +85,8 @@
   void aCutThatTakesTheOnesHeardLastDoesNotKeepItHeld() throws Exception {
     LiveLoop loop = new LiveLoop("held");
     Cut cut = new Cut();
-    Held held = new Held(cut, loop, WITHIN, than -> List.of(List.of(at(9), at(8), at(7)), List.of(at(6), at(2))), metrics);
-    loop.execute(() -> held.freeLater(at(1), "x", true, clock(loop).start("x", at(1), loop.now(), true)));
+    Releases releases = new Releases(cut, loop, WITHIN, than -> List.of(List.of(at(9), at(8), at(7)), List.of(at(6), at(2))), metrics);
+    loop.execute(() -> releases.releaseDoubted(at(1), "x", true, clock(loop).start("x", at(1), loop.now(), true)));
     boolean inTime = cut.reached.await(WITHIN.toMillis(), TimeUnit.MILLISECONDS);
     List<Integer> asked = new ArrayList<>();
     loop.call(() -> asked.addAll(cut.asked));
@@ -101,8 +101,8 @@
     LiveLoop loop = new LiveLoop("held");
     Cut cut = new Cut();
     List<InetSocketAddress> others = List.of(at(2), at(3), at(4), at(5), at(6));
-    Held held = new Held(cut, loop, WITHIN, than -> List.of(others), metrics);
-    loop.execute(() -> held.freeLater(at(1), "x", true, clock(loop).start("x", at(1), loop.now(), true)));
+    Releases releases = new Releases(cut, loop, WITHIN, than -> List.of(others), metrics);
+    loop.execute(() -> releases.releaseDoubted(at(1), "x", true, clock(loop).start("x", at(1), loop.now(), true)));
     boolean inTime = cut.reached.await(WITHIN.toMillis(), TimeUnit.MILLISECONDS);
     List<Integer> asked = new ArrayList<>();
     loop.call(() -> asked.addAll(cut.asked));
