--- /dev/null
+++ b/src/main/java/gapproxy/soak/GatewayConfig.java
@@ -0,0 +1,40 @@
+package gapproxy.soak;
+
+import java.time.Duration;
+
+/**
+ * The configuration file of one gateway process.
+ *
+ * @param discoveryPort on loopback, as the gateway's own
+ * @param memoryMb resident memory past which the process counts as failed
+ * @param hosts the list of model servers as it was last known, in discovery's form
+ * @param nonReplayable how the class that may not be repeated is named
+ */
+record GatewayConfig(String name, int port, int discoveryPort, long seed, int memoryMb, int sockets, String hosts, int gateways, int zone,
+    SoakPlan.Settings settings, Duration drainGrace, String nonReplayable) {
+  private static long micros(Duration d) {
+    return d.toNanos() / 1000;
+  }
+
+  String json() {
+    long longest = micros(settings.longestBudget());
+    return """
+        {"name":"%s","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"%x","limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},
+         "known":%s,
+         "settings":{"balancers":%d,"tickUs":4000,"locality":%d,"localities":["a","b"],"kinds":["reading","writing"],
+          "classes":[{"name":"talk","repeat":"read_like","sloUs":%d,"giveUpUs":%d,"worth":1.0,"stream":true},
+           {"name":"note","repeat":"idempotency_key","group":"all","windowUs":%d,"sloUs":%d,"giveUpUs":%d,"worth":1.0,"stream":true},
+           {"name":"pay","repeat":"%s","sloUs":%d,"giveUpUs":%d,"worth":2.0,"stream":true}],
+          "projects":[{"name":"town","quotaRps":1000.0}],"overShareWorth":0.2,"registryMode":"pushed",
+          "familyInfo":{"ahead":true,"localRead":true,"releaseWithinUs":%d,"roleByKind":["read","write"],"memoryTokens":[200000,200000],
+           "reportX0":"share of memory that is held","reportX1":"thousands of prompt tokens waiting to be read or fetched"},
+          "guarantees":{"drainGraceUs":%d,"startCapacity":%s,"warmUpUs":%d,"tipMultiple":%s,"fallUs":%d},
+          "policyLimits":{"connIdleUs":%d,"connectTimeoutUs":250000,"maxAttempts":4,"mayCancel":true,"mayDuplicate":%b,"mayProbe":%b,
+           "retryAfter":false},
+          "stats":{"source":"%s","columns":["outstanding","backlog","x0","x1"]}}}
+        """.formatted(name, port, discoveryPort, seed, memoryMb, sockets, hosts, gateways, zone, longest / 2, longest,
+        micros(settings.window()), longest / 2, longest, nonReplayable, longest / 2, longest, micros(settings.release()), micros(drainGrace),
+        SoakSite.START_CAPACITY, micros(SoakSite.WARM_UP), SoakSite.TIP_MULTIPLE, micros(SoakSite.FALL), micros(settings.idle()),
+        settings.copies(), settings.probes(), settings.probes() ? "pull" : "silent");
+  }
+}
--- a/src/main/java/gapproxy/soak/GatewayProcess.java
+++ b/src/main/java/gapproxy/soak/GatewayProcess.java
@@ -1,6 +1,7 @@
 package gapproxy.soak;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -17,14 +18,16 @@
 
 /** One gateway as a process of its own, started as the deploy file does but for the archive of classes. */
 final class GatewayProcess {
-  private static final List<String> FLAGS = List.of("-XX:-UsePerfData", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss256k",
-      "-Xms32m", "-Xmx64m");
+  /** The flags of deploy/balancer.toml, but for the archive of classes and the heap. */
+  private static final List<String> FLAGS = List.of("-XX:-UsePerfData", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss256k", "-Xms32m");
+  static final int HEAP_MB = 64;
   private static final int LEAST_PORT = 12_000, PORTS = 18_000, PORT_TRIES = 100;
   private static final long READY_WITHIN_MS = 10_000, LOOK_MS = 20;
 
   final String name;
   final int port;
   private final Path dir;
+  private final int heapMb;
   private List<String> environment = List.of();
   private Process process;
   private int starts;
@@ -33,7 +36,12 @@
   record Held(long descriptors, long threads, long residentKb) {}
 
   GatewayProcess(String name, Path dir) throws IOException {
+    this(name, dir, HEAP_MB);
+  }
+
+  GatewayProcess(String name, Path dir, int heapMb) throws IOException {
     this.name = name;
+    this.heapMb = heapMb;
     this.dir = dir;
     port = freePort();
   }
@@ -72,6 +80,7 @@
     starts++;
     List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
     command.addAll(FLAGS);
+    command.add("-Xmx" + heapMb + "m");
     command.addAll(List.of("-cp", System.getProperty("java.class.path"), "gapproxy.cli.Main", "node"));
     ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
     b.environment().put("LB_CONFIG", config().toString());
@@ -135,6 +144,15 @@
     }
   }
 
+  /** The highest resident memory of this start; 0 once it has ended. */
+  long peakResidentKb() {
+    try {
+      return status(Path.of("/proc", Long.toString(process.pid())), "VmHWM:");
+    } catch (IOException | UncheckedIOException e) {
+      return 0;                                               // it ends just now
+    }
+  }
+
   private static long status(Path of, String key) throws IOException {
     return Files.readAllLines(of.resolve("status")).stream().filter(l -> l.startsWith(key))
         .mapToLong(l -> Long.parseLong(l.substring(key.length()).replace("kB", "").strip())).findFirst().orElse(0);
--- /dev/null
+++ b/src/main/java/gapproxy/soak/PressurePeers.java
@@ -0,0 +1,282 @@
+package gapproxy.soak;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Model servers and discovery for {@link MemoryPressure}, on a thread for each connection: they send as fast as they are read. What a server
+ * does with a request is said by the request's own header {@link #BEHAVIOUR}.
+ */
+final class PressurePeers implements AutoCloseable {
+  static final String BEHAVIOUR = "x-behaviour";
+  private static final int READERS = 4, SERVERS = 8, BACKLOG = 512, PIECE = 32 << 10;
+  private static final long SIGN_OF_LIFE_MS = 2000;
+  private static final String EVENT = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"%s\"},\"finish_reason\":null}]}\n\n";
+  private static final String LAST_EVENTS = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":900,\"completion_tokens\":9,"
+      + "\"prompt_tokens_details\":{\"cached_tokens\":128}}}\n\ndata: [DONE]\n\n";
+
+  /** What a model server does with a request. */
+  enum Behaviour {
+    /** Some events and the end. */
+    ANSWER,
+    /** Nothing. */
+    SILENT,
+    /** Events of 8 KiB without end. */
+    LARGE_EVENTS,
+    /** Events of 400 bytes without end. */
+    SMALL_EVENTS,
+    /** Events with texts of 4 bytes without end. */
+    TINY_EVENTS,
+    /** Comments of 1 KiB without end, and never an event. */
+    COMMENTS,
+    /** All of a long event but its end, and then nothing. */
+    UNFINISHED_EVENT,
+    /** An event, then all of a long one but its end, and then nothing. */
+    UNFINISHED_SECOND_EVENT
+  }
+
+  /** A request or response head, and how long its body is. */
+  record Head(String firstLine, List<String> headers, long length, boolean chunked) {
+    String header(String name) {
+      return headers.stream().filter(h -> h.toLowerCase(Locale.ROOT).startsWith(name + ":")).findFirst()
+          .map(h -> h.substring(name.length() + 1).strip()).orElse(null);
+    }
+  }
+
+  private final List<ServerSocket> listening = new ArrayList<>();
+  private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private final boolean floodedDiscovery;
+  private final ServerSocket discovery;
+
+  /** @param floodedDiscovery whether discovery sends objects that are long and of no use */
+  PressurePeers(boolean floodedDiscovery) throws IOException {
+    this.floodedDiscovery = floodedDiscovery;
+    for (int i = 0; i < SERVERS; i++) {
+      boolean reader = i < READERS;
+      listening.add(listen(s -> serve(s, reader)));
+    }
+    discovery = listen(this::tell);
+  }
+
+  interface Conversation {
+    void with(Socket s) throws IOException;
+  }
+
+  /** Runs a conversation on a thread of its own; its end by an error of the connection is its regular end. */
+  static Thread converse(String name, Socket s, Conversation c) {
+    Thread t = new Thread(null, () -> {
+      try (s) {
+        c.with(s);
+      } catch (IOException e) {
+        return;
+      }
+    }, name, 256 << 10);
+    t.setDaemon(true);
+    t.start();
+    return t;
+  }
+
+  private ServerSocket listen(Conversation c) throws IOException {
+    ServerSocket l = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    Thread t = new Thread(() -> {
+      while (!l.isClosed()) {
+        try {
+          Socket s = l.accept();
+          open.add(s);
+          converse("pressure-server", s, c);
+        } catch (IOException e) {
+          continue;
+        }
+      }
+    }, "pressure-accept");
+    t.setDaemon(true);
+    t.start();
+    return l;
+  }
+
+  int discoveryPort() {
+    return discovery.getLocalPort();
+  }
+
+  /** The list of model servers. */
+  String hosts() {
+    StringBuilder b = new StringBuilder("{\"seq\":1,\"whole\":true,\"hosts\":[");
+    for (int i = 0; i < SERVERS; i++) {
+      b.append(i == 0 ? "" : ",").append("{\"host\":\"s-").append(i).append("\",\"dial\":\"127.0.0.1:").append(listening.get(i).getLocalPort())
+          .append("\",\"site\":\"").append(i % 2 == 0 ? "a" : "b").append("\",\"class\":\"").append(i < READERS ? "reading" : "writing")
+          .append("\",\"block\":0,\"health\":\"up\",\"share\":1.0,\"born_ms\":0}");
+    }
+    return b.append("]}").toString();
+  }
+
+  private void tell(Socket s) throws IOException {
+    if (head(new BufferedInputStream(s.getInputStream())) == null) {
+      return;
+    }
+    OutputStream out = s.getOutputStream();
+    out.write(ascii("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    if (floodedDiscovery) {
+      flood(out);
+    }
+    for (;;) {
+      chunk(out, ascii(floodedDiscovery ? "\n" : hosts() + "\n"));
+      try {
+        Thread.sleep(SIGN_OF_LIFE_MS);
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
+  /** An object of 4 MB less some bytes that never ends: each call gets one. */
+  private static void flood(OutputStream out) throws IOException {
+    byte[] piece = ascii("{},".repeat(PIECE / 3));
+    chunk(out, ascii("{\"seq\":1,\"whole\":true,\"hosts\":["));
+    for (int sent = 0; sent + piece.length < (4 << 20) - PIECE; sent += piece.length) {
+      chunk(out, piece);
+    }
+  }
+
+  private void serve(Socket s, boolean reader) throws IOException {
+    InputStream in = new BufferedInputStream(s.getInputStream(), PIECE);
+    OutputStream out = s.getOutputStream();
+    for (Head h = head(in); h != null; h = head(in)) {
+      skip(in, h);
+      String path = h.firstLine().split(" ")[1];
+      if (path.startsWith("/kv/")) {
+        out.write(ascii("HTTP/1.1 " + (h.firstLine().startsWith("DELETE") ? "204 No Content" : "409 Conflict\r\nContent-Length: 0") + "\r\n\r\n"));
+      } else if (!path.startsWith("/v1/")) {
+        whole(out, "200 OK", "{\"outstanding\":0,\"backlog\":0,\"x0\":0.1,\"x1\":0}");
+      } else {
+        String named = h.header(BEHAVIOUR);
+        answer(out, named == null ? Behaviour.ANSWER : Behaviour.valueOf(named), reader);
+      }
+    }
+  }
+
+  private static void answer(OutputStream out, Behaviour behaviour, boolean reader) throws IOException {
+    if (behaviour == Behaviour.SILENT) {
+      return;                                                 // the connection stays open
+    }
+    if (reader) {
+      whole(out, "202 Accepted", "{\"cached_tokens\":128}");
+      return;
+    }
+    out.write(ascii("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    byte[] unfinished = ascii("data: " + "x".repeat((64 << 10) - 64));
+    switch (behaviour) {
+      case LARGE_EVENTS -> forever(out, String.format(EVENT, "w".repeat(8 << 10)));
+      case SMALL_EVENTS -> forever(out, String.format(EVENT, "w".repeat(330)).repeat(20));
+      case TINY_EVENTS -> forever(out, String.format(EVENT, "oqvh").repeat(100));
+      case COMMENTS -> forever(out, ": " + "c".repeat(1 << 10) + "\n\n");
+      case UNFINISHED_EVENT -> chunk(out, unfinished);
+      case UNFINISHED_SECOND_EVENT -> {
+        chunk(out, ascii(String.format(EVENT, "w")));
+        chunk(out, unfinished);
+      }
+      default -> {
+        chunk(out, ascii(String.format(EVENT, "w").repeat(3) + LAST_EVENTS));
+        out.write(ascii("0\r\n\r\n"));
+      }
+    }
+  }
+
+  private static void forever(OutputStream out, String text) throws IOException {
+    byte[] bytes = ascii(text);
+    for (;;) {
+      chunk(out, bytes);
+    }
+  }
+
+  static void chunk(OutputStream out, byte[] bytes) throws IOException {
+    ByteArrayOutputStream all = new ByteArrayOutputStream(bytes.length + 16);
+    all.writeBytes(ascii(Integer.toHexString(bytes.length) + "\r\n"));
+    all.writeBytes(bytes);
+    all.writeBytes(ascii("\r\n"));
+    out.write(all.toByteArray());
+  }
+
+  private static void whole(OutputStream out, String status, String body) throws IOException {
+    out.write(ascii("HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length() + "\r\n\r\n" + body));
+  }
+
+  static byte[] ascii(String text) {
+    return text.getBytes(StandardCharsets.US_ASCII);
+  }
+
+  /** Reads a head; null at the connection's end. */
+  static Head head(InputStream in) throws IOException {
+    String first = line(in);
+    if (first == null) {
+      return null;
+    }
+    List<String> headers = new ArrayList<>();
+    long length = 0;
+    boolean chunked = false;
+    for (String l = line(in); l != null && !l.isEmpty(); l = line(in)) {
+      headers.add(l);
+      String lower = l.toLowerCase(Locale.ROOT);
+      length = lower.startsWith("content-length:") ? Long.parseLong(lower.substring(15).strip()) : length;
+      chunked |= lower.startsWith("transfer-encoding:");
+    }
+    return new Head(first, headers, length, chunked);
+  }
+
+  private static String line(InputStream in) throws IOException {
+    StringBuilder b = new StringBuilder();
+    for (int c = in.read(); c != '\n'; c = in.read()) {
+      if (c < 0) {
+        return null;
+      }
+      b.append((char) c);
+    }
+    return b.toString().strip();
+  }
+
+  /** Reads a body to its end; its last bytes. */
+  static String skip(InputStream in, Head h) throws IOException {
+    String last = "";
+    if (!h.chunked()) {
+      in.skipNBytes(h.length());
+      return last;
+    }
+    for (int size = size(in); size > 0; size = size(in)) {
+      byte[] bytes = in.readNBytes(size);
+      last = new String(bytes, Math.max(0, bytes.length - 64), Math.min(64, bytes.length), StandardCharsets.US_ASCII);
+      line(in);
+    }
+    line(in);
+    return last;
+  }
+
+  private static int size(InputStream in) throws IOException {
+    String l = line(in);
+    if (l == null) {
+      throw new IOException("the connection ended in a body");
+    }
+    return Integer.parseInt(l, 16);
+  }
+
+  @Override
+  public void close() throws IOException {
+    discovery.close();
+    for (ServerSocket l : listening) {
+      l.close();
+    }
+    for (Socket s : open) {
+      s.close();
+    }
+  }
+}
--- a/src/main/java/gapproxy/soak/Soak.java
+++ b/src/main/java/gapproxy/soak/Soak.java
@@ -34,6 +34,7 @@
   private static final Duration SETTLE = Duration.ofMillis(2700), MAY_REFUSE = Duration.ofMillis(700);
   private static final Duration SINGLY_EVERY = Duration.ofMillis(150), HARNESS_LATE = Duration.ofMillis(300);
   private static final double OF_OPEN_CONNECTIONS = 0.8, OF_THEM_SINGLY = 0.08, OF_A_ROLE = 0.8;
+  private static final int MEMORY_MB = 192, SOCKETS = 512;
   private static final int ROLE_SILENCES = 3, CROWD = 300, SIGNAL_SERIES = 4;
   private static final long BETWEEN_SIGNALS_MS = 60;
   private static final int RULE_ON_HELD = 5;
@@ -218,31 +219,9 @@
   }
 
   private String config(int g) {
-    SoakPlan.Settings s = plan.settings();
-    long longest = micros(s.longestBudget());
-    return """
-        {"name":"%s","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"%x","limits":{"cores":1.0,"memory_mb":192,"sockets":512},
-         "known":%s,
-         "settings":{"balancers":%d,"tickUs":4000,"locality":%d,"localities":["a","b"],"kinds":["reading","writing"],
-          "classes":[{"name":"talk","repeat":"read_like","sloUs":%d,"giveUpUs":%d,"worth":1.0,"stream":true},
-           {"name":"note","repeat":"idempotency_key","group":"all","windowUs":%d,"sloUs":%d,"giveUpUs":%d,"worth":1.0,"stream":true},
-           {"name":"pay","repeat":"%s","sloUs":%d,"giveUpUs":%d,"worth":2.0,"stream":true}],
-          "projects":[{"name":"town","quotaRps":1000.0}],"overShareWorth":0.2,"registryMode":"pushed",
-          "familyInfo":{"ahead":true,"localRead":true,"releaseWithinUs":%d,"roleByKind":["read","write"],"memoryTokens":[200000,200000],
-           "reportX0":"share of memory that is held","reportX1":"thousands of prompt tokens waiting to be read or fetched"},
-          "guarantees":{"drainGraceUs":%d,"startCapacity":%s,"warmUpUs":%d,"tipMultiple":%s,"fallUs":%d},
-          "policyLimits":{"connIdleUs":%d,"connectTimeoutUs":250000,"maxAttempts":4,"mayCancel":true,"mayDuplicate":%b,"mayProbe":%b,
-           "retryAfter":false},
-          "stats":{"source":"%s","columns":["outstanding","backlog","x0","x1"]}}}
-        """.formatted(SoakSite.gatewayName(g), gateways.get(g).port, toDiscovery[g][discoveryInUse[g]].port(), plan.seed() * 131 + g,
-        site.hosts(g), plan.gateways(), g % 2, longest / 2, longest, micros(s.window()), longest / 2, longest,
-        plants.contains(Plant.EFFECT_MISNAMED) ? "read_like" : "non_idempotent", longest / 2, longest, micros(s.release()), micros(DRAIN_GRACE), SoakSite.START_CAPACITY,
-        micros(SoakSite.WARM_UP), SoakSite.TIP_MULTIPLE, micros(SoakSite.FALL), micros(s.idle()), s.copies(), s.probes(),
-        s.probes() ? "pull" : "silent");
-  }
-
-  private static long micros(Duration d) {
-    return d.toNanos() / 1000;
+    String effect = plants.contains(Plant.EFFECT_MISNAMED) ? "read_like" : "non_idempotent";
+    return new GatewayConfig(SoakSite.gatewayName(g), gateways.get(g).port, toDiscovery[g][discoveryInUse[g]].port(), plan.seed() * 131 + g,
+        MEMORY_MB, SOCKETS, site.hosts(g), plan.gateways(), g % 2, plan.settings(), DRAIN_GRACE, effect).json();
   }
 
   private void startAll() throws IOException, InterruptedException {
