A turn of the loop ends by time, so that decisions do not wait behind a flood

Callers saw requests of usual clients without an answer for over a second while servers sent as fast as they were read. Cause: a turn took up to 4,096 posts of any size before decisions and writes, and the thread that reads refilled the inbox meanwhile; the log said 'the process was held up' for 2.2 s. A turn now ends after 5 ms.

--- a/src/main/java/gapproxy/runtime/LiveLoop.java
+++ b/src/main/java/gapproxy/runtime/LiveLoop.java
@@ -24,6 +24,8 @@
   private static final Logger LOG = LoggerFactory.getLogger(LiveLoop.class);
   private static final int INBOX = 1 << 16;
   private static final int TURN = 4096;                       // posts taken before timers are looked at again
+  private static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(5); // peers that send without pause would never let a turn end
+  private static final int CLOCK_EVERY = 16;                  // posts, between two looks at the clock
   private static final int CANCELLED_KEPT = 1024;             // timers, before the queue is cleared of them
   private static final long LONGEST_SLEEP = TimeUnit.SECONDS.toNanos(1);
   private static final Duration LATE = Duration.ofMillis(150); // a turn or a timer past it is logged
@@ -240,6 +242,9 @@
       }
       safely(r);
       any = true;
+      if (i % CLOCK_EVERY == CLOCK_EVERY - 1 && System.nanoTime() - origin - now > TURN_NANOS) {
+        break;
+      }
     }
     return any;
   }
--- a/src/test/java/gapproxy/runtime/LiveLoopTest.java
+++ b/src/test/java/gapproxy/runtime/LiveLoopTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 
 class LiveLoopTest {
@@ -75,4 +76,21 @@
     loop.close();
     assertTrue(waiting.get() < 2_000, waiting.get() + " cancelled timers are kept");
   }
+
+  /** Peers that send without pause kept a turn going for seconds, and what is done at its end, decisions among it, waited. */
+  @Test
+  void aTurnEndsThoughWorkComesWithoutPause() throws Exception {
+    try (LiveLoop loop = new LiveLoop("flooded")) {
+      AtomicInteger idle = new AtomicInteger();
+      loop.call(() -> loop.whenIdle(idle::incrementAndGet));
+      Runnable[] again = new Runnable[1];
+      again[0] = () -> {
+        LockSupport.parkNanos(200_000);
+        loop.execute(again[0]);
+      };
+      loop.execute(again[0]);
+      Thread.sleep(1000);
+      assertTrue(idle.get() >= 10, "turns that ended within a second: " + idle.get());
+    }
+  }
 }
