What was read is in an array of its own length, not in a pool's chunk of 64 KiB

A request's head refers to the buffer in which it came, and that was a slice of 64 KiB of the library's pool: each request in hand kept all of it. A read takes 16 KiB at most.

--- a/src/main/java/gapproxy/runtime/RetryingTransportFilter.java
+++ b/src/main/java/gapproxy/runtime/RetryingTransportFilter.java
@@ -12,6 +12,7 @@
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnection;
 
 /**
@@ -21,7 +22,7 @@
  */
 final class RetryingTransportFilter extends TransportFilter {
   private static final int INTERRUPTED = -3;                  // sun.nio.ch.IOStatus.INTERRUPTED, which channels let through
-  private static final int PIECE = 32 << 10;                  // bytes that one call reads or writes at most
+  private static final int PIECE = 16 << 10;                  // bytes that one call reads or writes at most
   private static final Attribute<Queued> QUEUED = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("gapproxy.runtime.queued");
   private static final ThreadLocal<ByteBuffer> PIECES = ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(PIECE));
 
@@ -35,11 +36,9 @@
     } else if (n < 0) {
       throw ended(connection, new EOFException());
     }
-    Buffer read = connection.getMemoryManager().allocate(n);
-    read.put(bytes.flip());
-    read.flip();
-    read.allowBufferDispose(true);
-    ctx.setMessage(read);
+    byte[] exactly = new byte[n];                             // a buffer of the pool would keep all 64 KiB of it for as long as one head is kept
+    bytes.flip().get(exactly);
+    ctx.setMessage(Buffers.wrap(connection.getMemoryManager(), exactly));
     ctx.setAddressHolder(null);
     return ctx.getInvokeAction();
   }
