An error on any thread ends the process, with its cause and status

In pre-production the thread that reads ended by OutOfMemoryError, out of its own handler; had the loop lived on, the process would have accepted requests that nobody reads.

--- a/src/main/java/gapproxy/cli/Exit.java
+++ b/src/main/java/gapproxy/cli/Exit.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.locks.LockSupport;
+import org.slf4j.LoggerFactory;
 
 /** Ends a process: in good order when it is told to, or at once when it can't go on. */
 final class Exit {
@@ -24,6 +25,19 @@
     }, "stop"));
   }
 
+  /**
+   * Ends the process when a thread ends by an error: one without the thread that reads, say, would accept requests that nobody answers. Where
+   * memory has run out the JVM ends it sooner, see {@code ExitOnOutOfMemoryError} in deploy/balancer.toml.
+   */
+  static void onErrorOfAnyThread() {
+    Thread.setDefaultUncaughtExceptionHandler((thread, cause) -> {
+      LoggerFactory.getLogger(Exit.class).atError().setCause(cause).addKeyValue("thread", thread.getName()).log("a thread has ended by an error");
+      if (cause instanceof Error) {
+        fatal();
+      }
+    });
+  }
+
   /**
    * Ends a process whose loop has ended by an error, so that its supervisor starts it anew. The failed answers that were just given
    * get a moment to leave; shutdown hooks would wait for the loop and are passed over.
--- a/src/main/java/gapproxy/cli/NodeCommand.java
+++ b/src/main/java/gapproxy/cli/NodeCommand.java
@@ -50,6 +50,7 @@
     }
     Path file = Path.of(named);
     Logs.plain(level);
+    Exit.onErrorOfAnyThread();
     CountDownLatch started = new CountDownLatch(1);
     CountDownLatch stopped = new CountDownLatch(1);
     PlatformNode[] node = new PlatformNode[1];
--- a/src/main/java/gapproxy/soak/GatewayProcess.java
+++ b/src/main/java/gapproxy/soak/GatewayProcess.java
@@ -19,7 +19,8 @@
 /** One gateway as a process of its own, started as the deploy file does but for the archive of classes. */
 final class GatewayProcess {
   /** The flags of deploy/balancer.toml, but for the archive of classes and the heap. */
-  private static final List<String> FLAGS = List.of("-XX:-UsePerfData", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss256k", "-Xms32m");
+  private static final List<String> FLAGS = List.of("-XX:-UsePerfData", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss256k", "-Xms32m",
+      "-XX:+ExitOnOutOfMemoryError");
   static final int HEAP_MB = 64;
   private static final int LEAST_PORT = 12_000, PORTS = 18_000, PORT_TRIES = 100;
   private static final long READY_WITHIN_MS = 10_000, LOOK_MS = 20;
