--- a/src/main/java/gapproxy/daemon/Node.java
+++ b/src/main/java/gapproxy/daemon/Node.java
@@ -2,6 +2,7 @@
 
 import gapproxy.config.Config;
 import gapproxy.gateway.Gateway;
+import gapproxy.memory.MemoryBudget;
 import gapproxy.openai.ChatRequest;
 import gapproxy.runtime.LiveDisk;
 import gapproxy.runtime.LiveLoop;
@@ -25,7 +26,7 @@
     this.config = config;
     loop = new LiveLoop(config.name(), cause -> abandon(onFatal));
     net = new LiveNet(config.name() + "-net", Math.max(2, Runtime.getRuntime().availableProcessors() / 2), socketBuffer);
-    gateway = new Gateway(config, loop, net, disk, seed != null ? seed
+    gateway = new Gateway(config, loop, net, disk, MemoryBudget.ofHeap(), seed != null ? seed
         : loop.wall().toEpochMilli() * 31 + config.name().hashCode());
   }
 
--- a/src/main/java/gapproxy/engine/Engines.java
+++ b/src/main/java/gapproxy/engine/Engines.java
@@ -256,6 +256,11 @@
       }
     }
 
+    @Override
+    public long kept() {
+      return 2L * (events.size() + error.size());             // they may have grown to twice as much
+    }
+
     @Override
     public void head(int s, Map<String, String> headers) {
       status = s;
--- a/src/main/java/gapproxy/gateway/ChatClients.java
+++ b/src/main/java/gapproxy/gateway/ChatClients.java
@@ -13,6 +13,7 @@
 import gapproxy.openai.ChatRequest;
 import gapproxy.openai.Chunk;
 import gapproxy.openai.WholeAnswer;
+import gapproxy.memory.MemoryBudget;
 import gapproxy.runtime.Loop;
 import gapproxy.runtime.Net;
 import java.io.IOException;
@@ -31,13 +32,15 @@
   private final Config config;
   private final Loop loop;
   private final Net net;
+  private final MemoryBudget budget;
   private final Map<String, Integer> groups = new HashMap<>(); // by model, and by name behind a blank
   private final Map<String, Integer> customers = new HashMap<>();
   private final Map<String, Double> ratios = new HashMap<>(); // by model
   private final long started;
   private int anonymous = -1;
 
-  ChatClients(Config config, Loop loop, Net net) {
+  ChatClients(Config config, Loop loop, Net net, MemoryBudget budget) {
+    this.budget = budget;
     this.config = config;
     this.loop = loop;
     this.net = net;
@@ -61,7 +64,7 @@
     Config.Http h = config.http();
     Caps caps = new Caps(h.headBytes(), h.headers(), h.bodyBytes(), h.outBytes(), 16, Config.span(h.idleMs()),
         Config.span(h.arriveMs()));
-    return HttpServer.open(loop, net, new InetSocketAddress(config.listen().host(), config.listen().port()), caps, this);
+    return HttpServer.open(loop, net, new InetSocketAddress(config.listen().host(), config.listen().port()), caps, budget, this);
   }
 
   /** One chat completion asked for. */
--- a/src/main/java/gapproxy/gateway/Client.java
+++ b/src/main/java/gapproxy/gateway/Client.java
@@ -59,6 +59,10 @@
   /** Before the answer has begun or in its midst: an error, and never its regular end. */
   void abort(Why why, String text);
 
+  /** Its answer was given and no attempt of it is out: nothing uses it any longer. */
+  default void forgotten() {
+  }
+
   /** Why a req was aborted. */
   enum Why { TIMEOUT, STREAM_BROKEN, SERVER_FAILED, STOPPING }
 }
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import gapproxy.list.ListSource;
 import gapproxy.list.PollSource;
 import gapproxy.list.ServerList;
+import gapproxy.memory.MemoryBudget;
 import gapproxy.runtime.Disk;
 import gapproxy.runtime.Loop;
 import gapproxy.runtime.Net;
@@ -45,6 +46,7 @@
   private static final Duration AFTER_FAULT = Duration.ofMillis(100);
   private static final Duration HELD_UP = Duration.ofMillis(200); // past what a gateway has to bear
   private static final int RING = 512;                        // events kept for the log of a violation
+  private static final int MOST_EARLY = 256;                  // pieces of an answer ahead of its first token
   private static final int ROUNDS = 1000;                     // of decisions in one turn of the loop
 
   private final Terms terms;
@@ -58,6 +60,7 @@
   private final AttemptLog attemptLog;
   private final SendGuard guard;
   private final Metrics metrics = new Metrics();
+  private final MemoryReport memory;
   private final EventRing ring = new EventRing(RING);
   private final ListSource source;
   private final Path remembered;
@@ -84,13 +87,18 @@
    * @param seed of the decisions' chance
    */
   public Gateway(Config config, Loop loop, Net net, Disk disk, long seed) {
-    this(Terms.of(config), loop, new ChatClients(config, loop, net), config, disk,
-        new HttpClient(loop, net, Config.span(config.http().poolIdleMs())), seed);
+    this(config, loop, net, disk, MemoryBudget.unbounded(), seed);
   }
 
-  private Gateway(Terms terms, Loop loop, Clients clients, Config config, Disk disk, HttpClient http, long seed) {
+  /** @param budget of the bytes kept for clients and engines */
+  public Gateway(Config config, Loop loop, Net net, Disk disk, MemoryBudget budget, long seed) {
+    this(Terms.of(config), loop, new ChatClients(config, loop, net, budget), config, disk,
+        new HttpClient(loop, net, Config.span(config.http().poolIdleMs()), Integer.MAX_VALUE, budget), budget, seed);
+  }
+
+  private Gateway(Terms terms, Loop loop, Clients clients, Config config, Disk disk, HttpClient http, MemoryBudget budget, long seed) {
     this(terms, loop, clients, new EngineServers(config, loop, http), listener -> source(config, loop, disk, http, listener),
-        disk, config.stateDir() == null ? null : Path.of(config.stateDir(), config.name() + ".servers.json"), seed);
+        disk, config.stateDir() == null ? null : Path.of(config.stateDir(), config.name() + ".servers.json"), budget, seed);
   }
 
   /**
@@ -102,6 +110,13 @@
    */
   public Gateway(Terms terms, Loop loop, Clients clients, Servers servers,
       Function<ListSource.Listener, ListSource> source, Disk disk, Path remembered, long seed) {
+    this(terms, loop, clients, servers, source, disk, remembered, MemoryBudget.unbounded(), seed);
+  }
+
+  /** @param budget of the bytes kept for clients and servers, of which clients and servers make use */
+  public Gateway(Terms terms, Loop loop, Clients clients, Servers servers, Function<ListSource.Listener, ListSource> source, Disk disk,
+      Path remembered, MemoryBudget budget, long seed) {
+    memory = new MemoryReport(budget, loop, metrics);
     this.terms = terms;
     this.loop = loop;
     this.clients = clients;
@@ -117,6 +132,12 @@
     this.source = source.apply(new Lists());
   }
 
+  private void forget(Req over) {
+    if (reqs.remove(over.number, over)) {
+      over.client.forgotten();
+    }
+  }
+
   private void forget(InetSocketAddress unused) {
     servers.forget(unused);
     held.forget(unused);
@@ -205,6 +226,7 @@
 
   /** Writes the counters and the last events to the log. On the loop. */
   public void report() {
+    memory.log("asked for its memory");
     LOG.atWarn().addKeyValue("open", reqs.size()).addKeyValue("metrics", metrics.text()).log("asked for its counters");
     ring.entries().forEach(e -> LOG.atWarn().addKeyValue("event", e).log("event"));
   }
@@ -330,7 +352,7 @@
       dropped.forEach(held::release);                            // not before the forwards of the same step, which may need it again
       dropped.clear();
     }
-    over.forEach(r -> reqs.remove(r.number, r));
+    over.forEach(this::forget);
     over.clear();
   }
 
@@ -421,7 +443,9 @@
     if (late.compareTo(HELD_UP) > 0) {
       metrics.heldUp();
       LOG.atWarn().addKeyValue("ms", late.toMillis()).log("the process was held up");
+      memory.log("memory as the process was held up");
     }
+    memory.look();
     pending.add(new Event.Wake());
   }
 
@@ -577,8 +601,11 @@
         return;
       } else if (f.begun) {
         r.client.piece(piece);
-      } else {
+        holdBack(f);
+      } else if (f.early.size() < MOST_EARLY) {
         f.early.add(piece);
+      } else {
+        failed(new Verdict(Verdict.Kind.BROKEN, 200, new byte[0], "more than " + MOST_EARLY + " pieces without a token"));
       }
     }
 
--- a/src/main/java/gapproxy/gateway/HttpClients.java
+++ b/src/main/java/gapproxy/gateway/HttpClients.java
@@ -10,15 +10,25 @@
 public abstract class HttpClients implements Clients, HttpServer.Handler {
   /** A client that is answered by one exchange; pieces are gathered and written at the end of a turn. */
   public abstract static class Answered implements Client {
+    private static final int LONGEST_WRITE = 32 << 10;
     protected final Exchange exchange;
     private final ByteArrayOutputStream relay = new ByteArrayOutputStream();
 
     protected Answered(Exchange exchange) {
       this.exchange = exchange;
+      exchange.keepRequest();
     }
 
     protected void relay(byte[] bytes) {
       relay.writeBytes(bytes);
+      if (relay.size() >= LONGEST_WRITE) {
+        flush();
+      }
+    }
+
+    @Override
+    public void forgotten() {
+      exchange.requestOver();
     }
 
     @Override
--- a/src/main/java/gapproxy/http/EventStream.java
+++ b/src/main/java/gapproxy/http/EventStream.java
@@ -45,6 +45,11 @@
     }
   }
 
+  /** Bytes of an event that has begun and not ended. */
+  public int size() {
+    return line.size() + data.length();
+  }
+
   private void whole() {
     String s = line.toString(StandardCharsets.UTF_8);
     line.reset();
--- a/src/main/java/gapproxy/http/Exchange.java
+++ b/src/main/java/gapproxy/http/Exchange.java
@@ -1,16 +1,13 @@
 package gapproxy.http;
 
+import gapproxy.memory.MemoryBudget;
 import gapproxy.runtime.Loop;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
-import java.util.concurrent.atomic.AtomicInteger;
-import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
@@ -27,25 +24,26 @@
   private final Loop loop;
   private final Connection<?> connection;
   private final HttpRequestPacket packet;
-  private final Caps caps;
   private final Duration arrived;
   private final Finished finished;
   private final BooleanSupplier closing;
-  private final AtomicInteger waiting = new AtomicInteger();  // bytes given to the transport and not yet written
+  private final Outgoing outgoing;
+  private final MemoryBudget.Charge requestBytes;
+  private boolean requestKept;
   private HttpResponsePacket response;
   private boolean ended;
   private boolean lost;
   private Runnable onLost;
-  private Runnable onRoom;
   public final HttpRequest request;
 
-  Exchange(Loop loop, Connection<?> connection, HttpRequestPacket packet, HttpRequest request, Caps caps, Duration arrived,
-      Finished finished, BooleanSupplier closing) {
+  Exchange(Loop loop, Connection<?> connection, HttpRequestPacket packet, HttpRequest request, Outgoing outgoing,
+      MemoryBudget.Charge requestBytes, Duration arrived, Finished finished, BooleanSupplier closing) {
     this.loop = loop;
     this.connection = connection;
     this.packet = packet;
     this.request = request;
-    this.caps = caps;
+    this.outgoing = outgoing;
+    this.requestBytes = requestBytes;
     this.arrived = arrived;
     this.finished = finished;
     this.closing = closing;
@@ -59,14 +57,30 @@
     }
   }
 
-  /** Runs each time that the bytes which wait have been written, after {@link #full} was true. */
+  /** The request's bytes are used beyond its response, until {@link #requestOver}. */
+  public void keepRequest() {
+    requestKept = true;
+  }
+
+  /** Nothing uses the request's bytes any longer. */
+  public void requestOver() {
+    requestBytes.close();
+  }
+
+  private void requestEnds() {
+    if (!requestKept) {
+      requestOver();
+    }
+  }
+
+  /** Runs when there is room again, after {@link #full} was true. */
   public void onRoom(Runnable then) {
-    onRoom = then;
+    outgoing.onRoom(then);
   }
 
   /** Whether so much waits to be written that the source should hold back. */
   public boolean full() {
-    return waiting.get() > caps.outBytes();
+    return outgoing.full();
   }
 
   /** How long ago the request's last byte was read; requests wait behind those before them on the connection. */
@@ -123,6 +137,7 @@
   public void breakOff() {
     if (open()) {
       ended = true;
+      requestEnds();
       finished.then(false);
     }
   }
@@ -130,6 +145,7 @@
   /** Cuts the connection at once, as a process that dies would. */
   public void cut() {
     ended = true;
+    requestEnds();
     connection.terminateSilently();
   }
 
@@ -153,32 +169,18 @@
       response.setHeader("Connection", "close");
     }
     ended = true;
+    requestEnds();
     send(last, bytes);
     finished.then(keep);
   }
 
   private void send(HttpContent part, int bytes) {
-    waiting.addAndGet(bytes);
-    CompletionHandler<WriteResult<HttpContent, Object>> written = new EmptyCompletionHandler<>() {
-      @Override
-      public void completed(WriteResult<HttpContent, Object> r) {
-        int before = waiting.getAndAdd(-bytes);
-        if (before > caps.outBytes() && before - bytes <= caps.outBytes() && onRoom != null) {
-          loop.execute(() -> {
-            if (onRoom != null) {
-              onRoom.run();
-            }
-          });
-        }
-      }
-    };
-    @SuppressWarnings("unchecked")
-    Connection<Object> c = (Connection<Object>) connection;
-    c.write(part, written);
+    outgoing.write(part, bytes);
   }
 
   void lost() {
     lost = true;
+    requestEnds();
     if (!ended && onLost != null) {
       onLost.run();
     }
--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -1,5 +1,7 @@
 package gapproxy.http;
 
+import gapproxy.memory.MemoryBudget;
+import gapproxy.memory.MemoryUse;
 import gapproxy.runtime.Loop;
 import gapproxy.runtime.Net;
 import java.io.IOException;
@@ -66,6 +68,11 @@
 
     void data(byte[] bytes);
 
+    /** Memory that it takes for what it was told and keeps, in bytes. */
+    default long kept() {
+      return 0;
+    }
+
     void end();
 
     void failed(Failure how, String why);
@@ -75,6 +82,14 @@
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("gapproxy.http.client");
 
   private static final int HEAD = 16 << 10;                   // longest head of a response
+  /** What an open connection takes with nothing on it: the transport's and the codec's objects, and a head that is not whole. */
+  private static final int OPEN_BYTES = 12 << 10;
+  /** What a part of a response takes beside its bytes, until the loop has taken it. */
+  private static final int PART_BYTES = 512;
+  /** Bytes of one response that may wait for the loop, however much room there is. */
+  private static final int MOST_WAITING = 64 << 10;
+  /** What a response may take whatever others hold: a piece that was read, or an answer that is kept until it is whole. */
+  private static final int LEAST_BYTES = 16 << 10;
   private static final Duration SETTLE = Duration.ofMillis(10);
   private static final Duration DOUBT = Duration.ofSeconds(10); // how long a lost rested connection is remembered
   private static final Duration AT_ONCE = Duration.ofMillis(100); // within it a connection lost at rest shows
@@ -88,6 +103,7 @@
   private final Map<InetSocketAddress, ArrayDeque<Wire>> pool = new HashMap<>();
   private final Map<InetSocketAddress, Duration> heard = new HashMap<>(); // when an answer, or some of it, last came
   private final int most;
+  private final MemoryBudget budget;
   private Rest doubted;
   private int opened, open;
 
@@ -98,6 +114,12 @@
 
   /** @param most connections open or opening at a time */
   public HttpClient(Loop loop, Net net, Duration idle, int most) {
+    this(loop, net, idle, most, MemoryBudget.unbounded());
+  }
+
+  /** @param budget of what servers send */
+  public HttpClient(Loop loop, Net net, Duration idle, int most, MemoryBudget budget) {
+    this.budget = budget;
     this.loop = loop;
     this.net = net;
     this.idle = idle;
@@ -146,14 +168,20 @@
     whole(to, method, path, headers, body, connectWithin, within, longest, false, () -> true, then);
   }
 
+  /** See below, with all of a body kept. */
+  public void whole(InetSocketAddress to, String method, String path, Map<String, String> headers, byte[] body, Duration connectWithin,
+      Duration within, int longest, boolean newConnection, BooleanSupplier wanted, Whole.Answered then) {
+    whole(to, method, path, headers, body, connectWithin, within, new Whole.Size(longest, longest), newConnection, wanted, then);
+  }
+
   /**
    * @param newConnection whether to open one for it, though others rest
    * @param wanted see {@link Listener#wanted}
    */
   public void whole(InetSocketAddress to, String method, String path, Map<String, String> headers, byte[] body,
-      Duration connectWithin, Duration within, int longest, boolean newConnection, BooleanSupplier wanted, Whole.Answered then) {
+      Duration connectWithin, Duration within, Whole.Size size, boolean newConnection, BooleanSupplier wanted, Whole.Answered then) {
     Loop.Timer[] limit = new Loop.Timer[1];
-    Call call = new Call(to, method, path, () -> headers, body, new Whole(longest, (status, h, b, failure, why) -> {
+    Call call = new Call(to, method, path, () -> headers, body, new Whole(size, (status, h, b, failure, why) -> {
       limit[0].cancel();
       then.then(status, h, b, failure, why);
     }) {
@@ -283,7 +311,7 @@
 
         @Override
         public void open(Connection<?> c) {
-          Wire w = new Wire(to, c);
+          Wire w = new Wire(to, c, budget);
           WIRE.set(c, w);
           loop.execute(() -> {
             opened++;
@@ -362,6 +390,7 @@
         }
         if (wire != null) {
           wire.call = null;
+          wire.kept.resize(0);
           wire.connection.terminateSilently();
         } else if (giveUp != null) {
           giveUp.run();
@@ -390,7 +419,7 @@
     /** Whether the response may come in for now. */
     public void reading(boolean on) {
       if (wire != null && !over) {
-        net.reading(wire.connection, on);
+        wire.heldBackByCaller(!on);
       }
     }
 
@@ -404,6 +433,8 @@
     private void ended(boolean keep) {
       over = true;
       wire.call = null;
+      wire.kept.resize(0);
+      wire.heldBackByCaller(false);                           // its last part may have been on its way when it was
       if (keep && wire.connection.isOpen()) {
         wire.rest();
       } else if (keep) {
@@ -428,10 +459,52 @@
     Duration since;                                           // when it began to rest, null for a new one
     long number;
     Duration openedAt, heardAt;
+    private final MemoryBudget.Charge openBytes;
+    private final MemoryBudget.Share waitingShare;
+    private final MemoryBudget.Charge waiting;                // parts on their way to the loop
+    private final MemoryBudget.Charge kept;                   // by the call's listener
+    private boolean heldBackByCaller, heldBackByLoop;
 
-    Wire(InetSocketAddress to, Connection<?> connection) {
+    Wire(InetSocketAddress to, Connection<?> connection, MemoryBudget budget) {
       this.to = to;
       this.connection = connection;
+      openBytes = budget.share(MemoryUse.CONNECTION, 0).charge();
+      openBytes.force(OPEN_BYTES);
+      waitingShare = budget.share(MemoryUse.RESPONSE_IN, LEAST_BYTES);
+      waiting = waitingShare.charge();
+      kept = budget.share(MemoryUse.RESPONSE_IN, LEAST_BYTES).charge();
+    }
+
+    /** A part was read; where enough of them wait for the loop, no more is read for now. Of the reading thread. */
+    void partWaits(int bytes) {
+      waiting.force(bytes);
+      if (waitingShare.held() >= MOST_WAITING || !waitingShare.hasRoom()) {
+        heldBackByLoop(true);
+      }
+    }
+
+    /** The loop has taken a part. */
+    void partTaken(int bytes) {
+      waiting.giveBack(bytes);
+      if (isHeldBackByLoop() && waitingShare.held() <= MOST_WAITING / 2 && waitingShare.hasAmpleRoom()) {
+        heldBackByLoop(false);
+      }
+    }
+
+    private synchronized boolean isHeldBackByLoop() {
+      return heldBackByLoop;
+    }
+
+    private synchronized void heldBackByLoop(boolean now) {
+      heldBackByLoop = now;
+      net.reading(connection, !heldBackByCaller && !heldBackByLoop);
+    }
+
+    synchronized void heldBackByCaller(boolean now) {
+      if (heldBackByCaller != now) {
+        heldBackByCaller = now;
+        net.reading(connection, !heldBackByCaller && !heldBackByLoop);
+      }
     }
 
     /**
@@ -470,6 +543,9 @@
       open -= counted ? 1 : 0;
       counted = false;
       gone = true;
+      openBytes.close();
+      waiting.close();
+      kept.close();
       ArrayDeque<Wire> ready = pool.get(to);
       if (ready != null) {
         ready.remove(this);
@@ -588,32 +664,13 @@
       Map<String, String> headers = first ? HttpRequest.headers(p.getHeaders()) : null;
       int status = p.getStatus();
       boolean keep = last && keeps(p);
+      int waits = bytes.length + PART_BYTES;
+      w.partWaits(waits);
       loop.execute(() -> {
-        Call c = w.call;
-        heard.put(w.to, loop.now());
-        w.heardAt = loop.now();
-        if (c == null) {
-          w.connection.closeSilently();                       // nothing was asked: no use is safe any longer
-          return;
-        }
-        if (broken) {
-          c.fail(Failure.BROKEN, "the response is not valid HTTP/1.1");
-          return;
-        }
-        w.answered = true;
-        if (first) {
-          c.listener.head(status, headers);
-        }
-        if (bytes.length > 0 && w.call == c) {
-          c.received += bytes.length;
-          if (c.received > c.listener.longest()) {
-            c.fail(Failure.BROKEN, "the response is longer than " + c.listener.longest() + " bytes");
-            return;
-          }
-          c.listener.data(bytes);
-        }
-        if (last && w.call == c) {
-          c.ended(keep);
+        try {
+          take(w, new Part(first, status, headers, bytes, broken, last, keep));
+        } finally {
+          w.partTaken(waits);
         }
       });
       return ctx.getStopAction();
@@ -629,6 +686,40 @@
     }
   }
 
+  /** A part of a response, with its head if it is the first. */
+  private record Part(boolean first, int status, Map<String, String> headers, byte[] bytes, boolean broken, boolean last, boolean keep) {}
+
+  private void take(Wire w, Part part) {
+    Call c = w.call;
+    heard.put(w.to, loop.now());
+    w.heardAt = loop.now();
+    if (c == null) {
+      w.connection.closeSilently();                           // nothing was asked: no use is safe any longer
+      return;
+    } else if (part.broken) {
+      c.fail(Failure.BROKEN, "the response is not valid HTTP/1.1");
+      return;
+    }
+    w.answered = true;
+    if (part.first) {
+      c.listener.head(part.status, part.headers);
+    }
+    if (part.bytes.length > 0 && w.call == c) {
+      c.received += part.bytes.length;
+      if (c.received > c.listener.longest()) {
+        c.fail(Failure.BROKEN, "the response is longer than " + c.listener.longest() + " bytes");
+        return;
+      }
+      c.listener.data(part.bytes);
+      if (w.call == c && !w.kept.resize(c.listener.kept())) {
+        c.fail(Failure.BROKEN, "there is no room for more of the response");
+      }
+    }
+    if (part.last && w.call == c) {
+      c.ended(part.keep);
+    }
+  }
+
   private static boolean keeps(HttpResponsePacket p) {
     return !"close".equalsIgnoreCase(p.getHeader("connection"))
         && p.getProtocol() == org.glassfish.grizzly.http.Protocol.HTTP_1_1 && (p.isChunked() || p.getContentLength() >= 0);
--- a/src/main/java/gapproxy/http/HttpRequest.java
+++ b/src/main/java/gapproxy/http/HttpRequest.java
@@ -17,6 +17,15 @@
     return headers;
   }
 
+  /** Bytes of all names and values. */
+  static int length(MimeHeaders of) {
+    int length = 0;
+    for (int i = 0; i < of.size(); i++) {
+      length += of.getName(i).getLength() + of.getValue(i).getLength();
+    }
+    return length;
+  }
+
   /** A header's value, or null. */
   public String header(String name) {
     return headers.get(name.toLowerCase(Locale.ROOT));
--- a/src/main/java/gapproxy/http/HttpServer.java
+++ b/src/main/java/gapproxy/http/HttpServer.java
@@ -1,5 +1,6 @@
 package gapproxy.http;
 
+import gapproxy.memory.MemoryBudget;
 import gapproxy.runtime.Loop;
 import gapproxy.runtime.Net;
 import java.io.IOException;
@@ -42,6 +43,7 @@
   private final Loop loop;
   private final Net net;
   private final Caps caps;
+  private final MemoryBudget budget;
   private final Handler handler;
   private final Set<ServerConnection> connections = new LinkedHashSet<>(); // of the loop
   private final Set<ServerConnection> fresh = new LinkedHashSet<>(); // of them, those without a whole request so far, oldest first
@@ -52,10 +54,11 @@
   private long accepted;                                      // connections, as the transport counts them; synchronized
   private boolean accepting = true;
 
-  private HttpServer(Loop loop, Net net, Caps caps, Handler handler) {
+  private HttpServer(Loop loop, Net net, Caps caps, MemoryBudget budget, Handler handler) {
     this.loop = loop;
     this.net = net;
     this.caps = caps;
+    this.budget = budget;
     this.handler = handler;
   }
 
@@ -66,7 +69,17 @@
    */
   public static HttpServer open(Loop loop, Net net, InetSocketAddress at, Caps caps, Handler handler)
       throws IOException {
-    HttpServer s = new HttpServer(loop, net, caps, handler);
+    return open(loop, net, at, caps, MemoryBudget.unbounded(), handler);
+  }
+
+  /**
+   * Serves as far as there is room for what clients send.
+   *
+   * @throws IOException if the address can't be bound
+   */
+  public static HttpServer open(Loop loop, Net net, InetSocketAddress at, Caps caps, MemoryBudget budget, Handler handler)
+      throws IOException {
+    HttpServer s = new HttpServer(loop, net, caps, budget, handler);
     IntFunction<byte[]> errors = status -> handler.error(status, status == 413 || status == 431
         ? "the request's head is too long" : "the request is not valid HTTP/1.1");
     Supplier<List<Filter>> filters = () -> List.of(Chunks.in(new Strict(caps, errors)), s.new Gather());
@@ -181,7 +194,7 @@
   private final class Gather extends BaseFilter {
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
-      ServerConnection c = new ServerConnection(HttpServer.this, loop, net, caps, ctx.getConnection());
+      ServerConnection c = new ServerConnection(HttpServer.this, loop, net, caps, budget, ctx.getConnection());
       count(1);
       loop.execute(() -> opened(c));
       return ctx.getInvokeAction();
--- /dev/null
+++ b/src/main/java/gapproxy/http/Outgoing.java
@@ -0,0 +1,80 @@
+package gapproxy.http;
+
+import gapproxy.memory.MemoryBudget;
+import gapproxy.memory.MemoryUse;
+import gapproxy.runtime.Loop;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
+
+/**
+ * What was given to a client's connection and has not been written yet, over all responses on it: a client that does not read may have asked
+ * for many. Writes and questions come from the loop, news of what was written from any thread.
+ */
+final class Outgoing {
+  /** What a message takes beside its content, until it is written. */
+  private static final int MESSAGE_BYTES = 1 << 10;
+  /** What may wait whatever other connections hold: some events, so that a stream goes on. */
+  private static final int LEAST_BYTES = 16 << 10;
+
+  private final Connection<?> connection;
+  private final Loop loop;
+  private final int most;
+  private final MemoryBudget.Share share;
+  private final MemoryBudget.Charge charge;
+  private volatile boolean wasFull;
+  private Runnable onRoom = () -> { };                        // of the loop
+
+  /** @param most bytes that may wait, however much room there is */
+  Outgoing(Connection<?> connection, Loop loop, int most, MemoryBudget budget) {
+    this.connection = connection;
+    this.loop = loop;
+    this.most = most;
+    share = budget.share(MemoryUse.RESPONSE_OUT, LEAST_BYTES);
+    charge = share.charge();
+  }
+
+  /** Writes a message, behind those before it. */
+  void write(Object message, int bytes) {
+    charge.force(bytes + MESSAGE_BYTES);
+    @SuppressWarnings("unchecked")
+    Connection<Object> c = (Connection<Object>) connection;
+    c.write(message, new EmptyCompletionHandler<WriteResult<Object, Object>>() {
+      @Override
+      public void completed(WriteResult<Object, Object> r) {
+        written(bytes + MESSAGE_BYTES);
+      }
+    });
+  }
+
+  private void written(int bytes) {
+    charge.giveBack(bytes);
+    if (wasFull && share.held() <= most / 2 && share.hasAmpleRoom()) {
+      wasFull = false;
+      loop.execute(() -> onRoom.run());
+    }
+  }
+
+  /** Whether so much waits that its source should hold back; then {@link #onRoom} is run once it need not any longer. */
+  boolean full() {
+    boolean full = share.held() > most || !share.hasRoom();
+    if (full) {
+      wasFull = true;
+      if (share.held() == 0) {                                // all was written meanwhile, and nothing else would tell
+        wasFull = false;
+        return false;
+      }
+    }
+    return full;
+  }
+
+  /** What is run, on the loop, when there is room again. */
+  void onRoom(Runnable then) {
+    onRoom = then;
+  }
+
+  /** The connection is closed. */
+  void close() {
+    charge.close();
+  }
+}
--- a/src/main/java/gapproxy/http/ServerConnection.java
+++ b/src/main/java/gapproxy/http/ServerConnection.java
@@ -1,18 +1,20 @@
 package gapproxy.http;
 
+import gapproxy.memory.MemoryBudget;
+import gapproxy.memory.MemoryUse;
 import gapproxy.runtime.Loop;
 import gapproxy.runtime.Net;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.Map;
+import java.util.Arrays;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 
@@ -28,7 +30,9 @@
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("gapproxy.http.server");
   /** How long a client may take to close its side, or to ask on a connection that was accepted as the port closed. */
   static final Duration LINGER = Duration.ofMillis(500);
-  private static final int WAITING_BYTES = 1 << 20;           // of bodies, past which no more is read for now
+  /** What an open connection takes with nothing on it: the transport's and the codec's objects, and a head that is not whole. */
+  private static final int OPEN_BYTES = 12 << 10;
+  private static final String RETRY_AFTER_SECONDS = "1";
 
   private final HttpServer server;
   private final Loop loop;
@@ -36,9 +40,13 @@
   private final Caps caps;
   private final Connection<?> connection;
 
+  private final MemoryBudget.Charge open;
+  private final MemoryBudget.Share requests;
+  private final Outgoing outgoing;
+
   // Of the reading thread.
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private HttpRequestPacket packet;
+  private volatile ArrivingRequest arriving;
   private volatile boolean midRequest;                        // some bytes of a request came, and not the last
   private int received;                                       // requests handed to the loop
 
@@ -47,21 +55,25 @@
 
   // Of the loop.
   private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
-  private int waitingBytes;
   private int handled;                                        // requests that came from the reading thread
   private Exchange current;
   private Loop.Timer timer;
-  private boolean paused, ended, closed;
+  private boolean paused, ended;
+  private volatile boolean closed;
 
-  /** What is served when the requests before it have been answered. */
-  private record Waiting(Runnable serve, int bytes) {}
+  /** What is served when the requests before it have been answered; its bytes are given back where it is not. */
+  private record Waiting(Runnable serve, MemoryBudget.Charge bytes) {}
 
-  ServerConnection(HttpServer server, Loop loop, Net net, Caps caps, Connection<?> connection) {
+  ServerConnection(HttpServer server, Loop loop, Net net, Caps caps, MemoryBudget budget, Connection<?> connection) {
     this.server = server;
     this.loop = loop;
     this.net = net;
     this.caps = caps;
     this.connection = connection;
+    open = budget.share(MemoryUse.CONNECTION, 0).charge();
+    open.force(OPEN_BYTES);
+    requests = budget.share(MemoryUse.REQUEST, 0);
+    outgoing = new Outgoing(connection, loop, caps.outBytes(), budget);
     ATTRIBUTE.set(connection, this);
   }
 
@@ -76,7 +88,7 @@
   boolean reads() {
     if (!midRequest) {
       midRequest = true;
-      loop.execute(this::arriving);
+      loop.execute(this::requestBegins);
     }
     return !discarding;
   }
@@ -86,7 +98,7 @@
     HttpRequestPacket p = (HttpRequestPacket) part.getHttpHeader();
     if (packet != p) {
       packet = p;
-      body.reset();
+      begin(p);
     }
     if (discarding) {
       return;
@@ -94,30 +106,44 @@
     Buffer b = part.getContent();
     if (HttpContent.isBroken(part)) {
       refuse(400, "the body is broken off or badly chunked");
-    } else if (body.size() + b.remaining() > caps.bodyBytes() || p.getContentLength() > caps.bodyBytes()) {
+    } else if (arriving.size() + b.remaining() > caps.bodyBytes() || p.getContentLength() > caps.bodyBytes()) {
       refuse(413, "the body is longer than " + caps.bodyBytes() + " bytes");
     } else {
-      byte[] bytes = new byte[b.remaining()];
-      b.get(bytes);
-      body.writeBytes(bytes);
+      arriving.append(b);
       if (part.isLast()) {
         whole(p);
       }
     }
   }
 
+  private void begin(HttpRequestPacket p) {
+    arriving = new ArrivingRequest(requests.charge(), HttpRequest.length(p.getHeaders()), p.getContentLength());
+    if (closed) {                                             // nothing more comes, so nobody else would
+      arriving.charge().close();
+    }
+  }
+
   private void whole(HttpRequestPacket p) {
-    HttpRequest request = new HttpRequest(p.getMethod().getMethodString(), p.getRequestURI(), p.getQueryString(),
-        HttpRequest.headers(p.getHeaders()), body.toByteArray());
+    ArrivingRequest whole = arriving;
     packet = null;
-    body.reset();
+    arriving = null;
     midRequest = false;
     received++;
+    if (whole.refused()) {
+      boolean keep = !"close".equalsIgnoreCase(p.getHeader("connection")) && p.getProtocol() == Protocol.HTTP_1_1;
+      loop.execute(() -> {
+        handled++;
+        arrived(whole.charge(), () -> refuseForRoom(keep));
+      });
+      return;
+    }
+    HttpRequest request = new HttpRequest(p.getMethod().getMethodString(), p.getRequestURI(), p.getQueryString(),
+        HttpRequest.headers(p.getHeaders()), whole.body());
     Object decoded = server.handler().decode(request);
     Duration at = loop.now();
     loop.execute(() -> {
       handled++;
-      arrived(request.body().length, () -> serve(p, request, decoded, at));
+      arrived(whole.charge(), () -> serve(p, request, whole.charge(), decoded, at));
     });
   }
 
@@ -125,10 +151,13 @@
   void refuse(int status, String what) {
     discarding = true;
     received++;
-    net.reading(connection, false);
+    MemoryBudget.Charge none = requests.charge();
+    if (arriving != null) {
+      arriving.charge().close();
+    }
     loop.execute(() -> {
       handled++;
-      arrived(0, () -> endWith(status, what));
+      arrived(none, () -> endWith(status, what));
     });
   }
 
@@ -152,7 +181,7 @@
   private void rest() {
     server.rests(this, true);
     if (midRequest) {
-      arriving();
+      requestBegins();
     } else {
       await(caps.idle(), false);
     }
@@ -169,35 +198,52 @@
     return current != null || !waiting.isEmpty();
   }
 
-  private void arriving() {
+  private void requestBegins() {
     if (!busy() && !ended && !closed && handled > 0) {        // before its first request it has had its time set
       server.rests(this, false);
       await(caps.arrive(), true);
     }
   }
 
-  private void arrived(int bytes, Runnable serve) {
+  private void arrived(MemoryBudget.Charge bytes, Runnable serve) {
     if (closed || ended) {
+      bytes.close();
       return;
-    } else if (!busy()) {
+    }
+    boolean first = !busy();
+    if (first && !outgoing.full()) {
       serve.run();
       return;
     }
     waiting.add(new Waiting(serve, bytes));
-    waitingBytes += bytes;
-    if (!paused && (waiting.size() >= caps.pipelined() || waitingBytes > WAITING_BYTES)) {
+    if (first) {                                              // its client has yet to read the answers before it
+      cancelTimer();
+      server.served(this);
+      outgoing.onRoom(this::serveNext);
+    }
+    if (!paused && waiting.size() >= caps.pipelined()) {
       paused = true;
       net.reading(connection, false);
     }
   }
 
-  private void serve(HttpRequestPacket p, HttpRequest request, Object decoded, Duration at) {
+  private void serve(HttpRequestPacket p, HttpRequest request, MemoryBudget.Charge bytes, Object decoded, Duration at) {
     cancelTimer();
     server.served(this);
-    current = new Exchange(loop, connection, p, request, caps, at, this::finished, () -> server.ending() && waiting.isEmpty());
+    current = new Exchange(loop, connection, p, request, outgoing, bytes, at, this::finished, () -> server.ending() && waiting.isEmpty());
     server.handler().handle(current, decoded);
   }
 
+  /** There was no room for a request: it was read and thrown away, and is the client's to send again. */
+  private void refuseForRoom(boolean keep) {
+    cancelTimer();
+    server.served(this);
+    boolean stays = keep && !(server.ending() && waiting.isEmpty());
+    String more = "Retry-After: " + RETRY_AFTER_SECONDS + "\r\n" + (stays ? "" : "Connection: close\r\n");
+    respond("503 Service Unavailable", more, server.handler().error(503, "there is no room for the request now"));
+    finished(stays);
+  }
+
   private void finished(boolean keep) {
     current = null;
     answered++;
@@ -211,16 +257,14 @@
   }
 
   private void serveNext() {
-    if (closed || ended || current != null) {
+    if (closed || ended || current != null || waiting.isEmpty()) {
       return;
-    }
-    Waiting next = waiting.peek();
-    if (next == null) {
+    } else if (outgoing.full()) {
+      outgoing.onRoom(this::serveNext);
       return;
     }
-    waiting.poll();
-    waitingBytes -= next.bytes();
-    if (paused && waiting.size() < caps.pipelined() / 2 + 1 && waitingBytes <= WAITING_BYTES / 2) {
+    Waiting next = waiting.poll();
+    if (paused && waiting.size() < caps.pipelined() / 2 + 1) {
       paused = false;
       if (!discarding) {
         net.reading(connection, true);
@@ -277,21 +321,18 @@
 
   private void endWith(int status, String what) {
     if (!closed && !ended) {
-      byte[] text = server.handler().error(status, what);
-      String head = "HTTP/1.1 " + status + " " + (status == 408 ? "Request Timeout" : "Bad Request") + "\r\n"
-          + "Date: " + HttpDate.of(loop.wall()) + "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: "
-          + text.length + "\r\n\r\n";
-      write(head.getBytes(StandardCharsets.ISO_8859_1));
-      write(text);
+      respond(status + " " + (status == 408 ? "Request Timeout" : "Bad Request"), "Connection: close\r\n", server.handler().error(status, what));
       end();
     }
   }
 
-  @SuppressWarnings("unchecked")
-  private void write(byte[] bytes) {
-    if (bytes.length > 0) {
-      ((Connection<Object>) connection).write(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes));
-    }
+  /** Answers beside the codec, which needs a request for that. */
+  private void respond(String status, String headers, byte[] body) {
+    String head = "HTTP/1.1 " + status + "\r\nDate: " + HttpDate.of(loop.wall()) + "\r\nContent-Type: application/json\r\n" + headers
+        + "Content-Length: " + body.length + "\r\n\r\n";
+    byte[] all = Arrays.copyOf(head.getBytes(StandardCharsets.ISO_8859_1), head.length() + body.length);
+    System.arraycopy(body, 0, all, head.length(), body.length);
+    outgoing.write(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, all), all.length);
   }
 
   private void end() {
@@ -300,9 +341,12 @@
     }
     ended = true;
     discarding = true;
-    waiting.clear();
+    dropWaiting();
     cancelTimer();
     server.ended(this);
+    if (paused) {
+      net.reading(connection, true);                          // what still comes is discarded, and its close is seen
+    }
     net.endOutput(connection, () -> loop.execute(() -> {
       if (!closed) {
         timer = loop.after(LINGER, connection::terminateSilently);
@@ -314,10 +358,21 @@
     connection.terminateSilently();
   }
 
+  private void dropWaiting() {
+    waiting.forEach(w -> w.bytes().close());
+    waiting.clear();
+  }
+
   void closed() {
     closed = true;
-    waiting.clear();
+    ArrivingRequest half = arriving;
+    if (half != null) {
+      half.charge().close();
+    }
+    dropWaiting();
     cancelTimer();
+    outgoing.close();
+    open.close();
     if (current != null) {
       current.lost();
     }
--- a/src/main/java/gapproxy/platform/Events.java
+++ b/src/main/java/gapproxy/platform/Events.java
@@ -9,12 +9,16 @@
   interface Told {
     /** One whole event with its blank line, or a comment. */
     void event(byte[] bytes, String text);
+
+    /** The next part of an event that is passed on before it is whole. */
+    void part(byte[] bytes);
   }
 
-  private static final int LONGEST = 64 << 10;
-  private final ByteArrayOutputStream some = new ByteArrayOutputStream();
+  private static final int LONGEST = 64 << 10, LONGEST_KEPT = 4 << 10;
+  private ByteArrayOutputStream some = new ByteArrayOutputStream();
   private final Told told;
   private int newlines;
+  private int passed;                                         // bytes of the present event that were passed on in parts
 
   Events(Told told) {
     this.told = told;
@@ -38,23 +42,48 @@
       }
     }
     some.write(bytes, from, bytes.length - from);
-    if (some.size() > LONGEST) {
+    if (passed + some.size() > LONGEST) {
       throw new IllegalStateException("an event of more than " + LONGEST + " bytes");
     }
   }
 
+  /** Passes on what has come of an event where that is much: else each stream might keep as much as its longest event. */
+  void passLongPart() {
+    if (some.size() > LONGEST_KEPT) {
+      checkBegin(some.toString(StandardCharsets.UTF_8));
+      byte[] bytes = some.toByteArray();
+      some = new ByteArrayOutputStream();
+      passed += bytes.length;
+      told.part(bytes);
+    }
+  }
+
   /** Whether an event has begun and not ended. */
   boolean amid() {
-    return some.size() > 0;
+    return passed + some.size() > 0;
+  }
+
+  /** Memory that it takes. */
+  int kept() {
+    return 2 * some.size();                                   // it may have grown to twice as much
   }
 
   private void whole() {
     byte[] bytes = some.toByteArray();
-    some.reset();
+    some = new ByteArrayOutputStream();                       // which would else keep its room for good
+    if (passed > 0) {
+      passed = 0;
+      told.part(bytes);
+      return;
+    }
     String text = new String(bytes, StandardCharsets.UTF_8);
-    if (!text.startsWith("data:") && !text.startsWith(":")) {
+    checkBegin(text);
+    told.event(bytes, text);
+  }
+
+  private void checkBegin(String text) {
+    if (passed == 0 && !text.startsWith("data:") && !text.startsWith(":")) {
       throw new IllegalStateException("bytes that are no event");
     }
-    told.event(bytes, text);
   }
 }
--- a/src/main/java/gapproxy/platform/Objects.java
+++ b/src/main/java/gapproxy/platform/Objects.java
@@ -7,11 +7,17 @@
 
 /** Cuts bytes that come in pieces into whole JSON objects, on one line or on many, with white space between them. */
 final class Objects {
-  private static final int LONGEST = 4 << 20;
-  private final ByteArrayOutputStream some = new ByteArrayOutputStream();
+  /** Of a list of 3,200 servers, the most that there are, at over 600 bytes each. */
+  static final int LONGEST = 2 << 20;
+  private ByteArrayOutputStream some = new ByteArrayOutputStream();
   private int depth;
   private boolean text, escaped;
 
+  /** Bytes of an object that has begun and not ended. */
+  int size() {
+    return some.size();
+  }
+
   /** Whether an object has begun and not ended. */
   boolean amid() {
     return depth > 0;
@@ -42,7 +48,7 @@
       }
       if (depth == 0) {
         whole.add(some.toByteArray());
-        some.reset();
+        some = new ByteArrayOutputStream();                   // which would else keep its room for good
       } else if (some.size() > LONGEST) {
         throw new IOException("an object of more than " + LONGEST + " bytes");
       }
--- a/src/main/java/gapproxy/platform/PlatformClients.java
+++ b/src/main/java/gapproxy/platform/PlatformClients.java
@@ -7,6 +7,7 @@
 import gapproxy.http.Exchange;
 import gapproxy.http.HttpRequest;
 import gapproxy.http.HttpServer;
+import gapproxy.memory.MemoryBudget;
 import gapproxy.runtime.Loop;
 import gapproxy.runtime.Net;
 import java.io.IOException;
@@ -30,21 +31,23 @@
   private final Loop loop;
   private final Net net;
   private final Caps caps;
+  private final MemoryBudget budget;
   private final WireSettings wire;
   private final Set<String> open = new HashSet<>();
   private boolean drained;
 
-  PlatformClients(InetSocketAddress listen, Loop loop, Net net, Caps caps, WireSettings wire) {
+  PlatformClients(InetSocketAddress listen, Loop loop, Net net, Caps caps, MemoryBudget budget, WireSettings wire) {
     this.listen = listen;
     this.loop = loop;
     this.net = net;
     this.caps = caps;
+    this.budget = budget;
     this.wire = wire;
   }
 
   @Override
   protected HttpServer serve() throws IOException {
-    return HttpServer.open(loop, net, listen, caps, this);
+    return HttpServer.open(loop, net, listen, caps, budget, this);
   }
 
   @Override
--- a/src/main/java/gapproxy/platform/PlatformConfig.java
+++ b/src/main/java/gapproxy/platform/PlatformConfig.java
@@ -1,6 +1,8 @@
 package gapproxy.platform;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import gapproxy.config.WireSettings;
@@ -8,9 +10,12 @@
 import java.net.InetSocketAddress;
 
 /** What {@code LB_CONFIG} says. */
-record PlatformConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+record PlatformConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, long memoryBytes,
     JsonNode known, WireSettings wire) {
-  static final ObjectMapper JSON = new ObjectMapper();
+  /** Values in one text: a list of 3,200 servers has a third of them. Small values take many times the bytes that they were sent in. */
+  private static final long MOST_TOKENS = 200_000;
+  static final ObjectMapper JSON = new ObjectMapper(JsonFactory.builder()
+      .streamReadConstraints(StreamReadConstraints.builder().maxTokenCount(MOST_TOKENS).build()).build());
 
   /** @throws PlatformNode.Bad if it can't be used; the message names the place */
   static PlatformConfig parse(byte[] text) throws PlatformNode.Bad {
@@ -33,11 +38,16 @@
     if (sockets <= 0) {
       throw new PlatformNode.Bad("/limits/sockets: a number over 0 is needed");
     }
+    JsonNode memoryMb = all.path("limits").path("memory_mb");
+    if (!memoryMb.isMissingNode() && !(memoryMb.asInt(0) > 0)) {
+      throw new PlatformNode.Bad("/limits/memory_mb: a number over 0 is needed");
+    }
     try {
       return new PlatformConfig(all.path("name").asText("gateway"),
           need(Members.bindable(all.path("listen").asText("")), "listen"),
           need(Members.address(all.path("discovery").asText("")), "discovery"),
-          Long.parseUnsignedLong(seed, 16), sockets, all.path("known"), WireSettings.of(all.path("settings")));
+          Long.parseUnsignedLong(seed, 16), sockets,
+          memoryMb.isMissingNode() ? Long.MAX_VALUE : memoryMb.asLong() << 20, all.path("known"), WireSettings.of(all.path("settings")));
     } catch (WireSettings.Bad e) {
       throw new PlatformNode.Bad("/settings: " + e.getMessage());
     }
--- a/src/main/java/gapproxy/platform/PlatformNode.java
+++ b/src/main/java/gapproxy/platform/PlatformNode.java
@@ -7,6 +7,7 @@
 import gapproxy.http.HttpClient;
 import gapproxy.list.ListSource;
 import gapproxy.list.ServerList;
+import gapproxy.memory.MemoryBudget;
 import gapproxy.runtime.LiveLoop;
 import gapproxy.runtime.LiveNet;
 import java.io.IOException;
@@ -52,7 +53,8 @@
     int half = Math.max(8, (c.sockets() - OWN_DESCRIPTORS) / 2); // of the descriptors to clients, half to servers
     Duration idle = w.connectionIdle();
     Caps caps = new Caps(16 << 10, 64, Wire.LONGEST_BODY, 256 << 10, PIPELINED, idle, FIRST_REQ, FIRST_REQ, half);
-    HttpClient http = new HttpClient(loop, net, idle.multipliedBy(4).dividedBy(5), half);
+    MemoryBudget budget = MemoryBudget.of(Runtime.getRuntime().maxMemory(), c.memoryBytes());
+    HttpClient http = new HttpClient(loop, net, idle.multipliedBy(4).dividedBy(5), half, budget);
     Members members = new Members();
     // Streams that a kill would cut are ended ahead of it, where clients then ask another gateway for the rest: at the kill
     // itself that one may be stopping too.
@@ -60,10 +62,10 @@
     Duration stop = w.resumes() && killed.compareTo(AHEAD) > 0 ? killed.minus(AHEAD) : LONGEST_ANSWER;
     Terms terms = new Terms(c.name(), w.settings(), w.groups(), w.zones(), w.kinds(), w.releaseWithin(), LONGEST_ANSWER,
         STREAM_GAP, stop, half * 9 / 10, true);
-    gateway = new Gateway(terms, loop, new PlatformClients(c.listen(), loop, net, caps, w), new PlatformServers(http, loop, w),
+    gateway = new Gateway(terms, loop, new PlatformClients(c.listen(), loop, net, caps, budget, w), new PlatformServers(http, loop, w),
         listener -> {
           // With a client of its own: what servers keep waiting must not keep the news of drains out.
-          watch = new Watch(c.discovery(), new HttpClient(loop, net, idle), loop, w.connectWithin(), members, new ListSource.Listener() {
+          watch = new Watch(c.discovery(), new HttpClient(loop, net, idle, Integer.MAX_VALUE, budget), loop, w.connectWithin(), members, new ListSource.Listener() {
             @Override
             public void list(ServerList l) {
               told.countDown();
@@ -76,7 +78,7 @@
             }
           });
           return watch;
-        }, null, null, c.seed());
+        }, null, null, budget, c.seed());
     ServerList known = members.list(c.known());
     try {
       startListening();
--- a/src/main/java/gapproxy/platform/PlatformServers.java
+++ b/src/main/java/gapproxy/platform/PlatformServers.java
@@ -27,7 +27,9 @@
   private static final double[] NOTHING = new double[0];
   private static final Set<String> OF_CONNECTION = Set.of("connection", "content-length", "expect", "host", "keep-alive",
       "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade");
-  private static final int LONGEST_WHOLE = 64 << 10;
+  /** Of answers that are no streams a few fields are read. */
+  private static final Whole.Size WHOLE = new Whole.Size(Wire.LONGEST_BODY, 8 << 10);
+  private static final int MOST_COMMENTS_AHEAD = 4 << 10;     // bytes kept ahead of a stream's first event
 
   private final HttpClient http;
   private final Loop loop;
@@ -42,7 +44,7 @@
 
   @Override
   public HttpClient.Call read(InetSocketAddress to, String id, Client of, Duration within, Reading then) {
-    return forward(to, id, of, within, new Whole(LONGEST_WHOLE, (status, headers, body, failure, why) -> {
+    return forward(to, id, of, within, new Whole(WHOLE, (status, headers, body, failure, why) -> {
       if (failure != null) {
         then.failed(Verdict.of(failure, why));
         return;
@@ -96,10 +98,21 @@
   /** Takes a stream of events apart; after its regular end or its failure nothing more is told. */
   private final class Stream implements HttpClient.Listener {
     private final Writing then;
-    private final Events events = new Events(this::event);
+    private final Events events = new Events(new Events.Told() {
+      @Override
+      public void event(byte[] bytes, String text) {
+        Stream.this.event(bytes, text);
+      }
+
+      @Override
+      public void part(byte[] bytes) {
+        Stream.this.part(bytes);
+      }
+    });
     private int status;
     private Map<String, String> headers = Map.of();
-    private boolean last, over;
+    private boolean begun, last, over;
+    private int commentsAhead;
 
     Stream(Writing then) {
       this.then = then;
@@ -128,17 +141,34 @@
       }
       try {
         events.take(bytes);
+        if (begun && !over) {                                 // ahead of its first event another attempt may still be the one
+          events.passLongPart();
+        }
         then.flush();
       } catch (IllegalStateException e) {
         fail(new Verdict(Verdict.Kind.BROKEN, status, NONE, e.getMessage()));
       }
     }
 
+    @Override
+    public long kept() {
+      return events.kept();
+    }
+
+    private void part(byte[] bytes) {
+      if (last) {
+        throw new IllegalStateException("an event behind the last one");
+      }
+      then.piece(bytes, true);
+    }
+
     private void event(byte[] bytes, String text) {
       if (over) {
         return;
       }
       boolean data = text.startsWith("data:");
+      begun |= data;
+      commentsAhead += begun ? 0 : bytes.length;
       if (!data && text.regionMatches(true, 0, ": srv-load:", 0, 11)) {
         then.report(report(text.substring(11)));
       } else if (data && text.contains("\"cached_tokens\"")) {
@@ -153,7 +183,9 @@
         throw new IllegalStateException("an event behind the last one");
       }
       last |= data && text.substring(5).strip().equals("[DONE]");
-      then.piece(bytes, data);
+      if (begun || commentsAhead <= MOST_COMMENTS_AHEAD) {    // a comment is no event, and nobody waits for it
+        then.piece(bytes, data);
+      }
     }
 
     @Override
@@ -220,7 +252,7 @@
   @Override
   public void probe(InetSocketAddress to, BiConsumer<double[], Verdict> then) {
     http.whole(to, "GET", Wire.LOAD_PROBE, Map.of(), NONE, wire.connectWithin(), wire.connectWithin().multipliedBy(2),
-        LONGEST_WHOLE, (status, headers, body, failure, why) -> {
+        WHOLE, false, () -> true, (status, headers, body, failure, why) -> {
           if (failure == null && status == 200) {
             then.accept(report(new String(body, StandardCharsets.UTF_8)), null);
           } else {
@@ -231,7 +263,7 @@
 
   @Override
   public void hold(InetSocketAddress to, String id, Client of, Duration within, Holding then) {
-    http.whole(to, "POST", Wire.HELD + id, Map.of(), NONE, wire.connectWithin(), within, LONGEST_WHOLE, false, then::wanted,
+    http.whole(to, "POST", Wire.HELD + id, Map.of(), NONE, wire.connectWithin(), within, WHOLE, false, then::wanted,
         (status, headers, body, failure, why) -> then.answered(reservation(status, failure)));
   }
 
@@ -254,7 +286,7 @@
 
   @Override
   public void free(InetSocketAddress to, String id, Duration within, boolean newConnection, Released then) {
-    http.whole(to, "DELETE", Wire.HELD + id, Map.of(), NONE, wire.connectWithin(), within, LONGEST_WHOLE, newConnection, () -> true,
+    http.whole(to, "DELETE", Wire.HELD + id, Map.of(), NONE, wire.connectWithin(), within, WHOLE, newConnection, () -> true,
         (status, headers, body, failure, why) -> then.then(failure == null && status / 100 == 2));
   }
 
--- a/src/main/java/gapproxy/platform/Watch.java
+++ b/src/main/java/gapproxy/platform/Watch.java
@@ -84,6 +84,13 @@
     awaitFirst();
   }
 
+  /** Ends the calls that wait longest for their first list while what has come on all of them is too much; never the one that just got some. */
+  private void keepWithinBounds(Attempt latest) {
+    while (waiting.stream().mapToLong(a -> a.objects.size()).sum() > Objects.LONGEST && waiting.peek() != latest) {
+      waiting.poll().cancel();
+    }
+  }
+
   private void endAll() {
     waiting.forEach(Attempt::cancel);
     waiting.clear();
@@ -162,6 +169,7 @@
             follow();
           }
         }
+        keepWithinBounds(this);
       } catch (IOException e) {
         index = -1;                                           // what it said is not known: all of it is asked for
         cancel();
--- a/src/main/java/gapproxy/soak/MemoryPressure.java
+++ b/src/main/java/gapproxy/soak/MemoryPressure.java
@@ -22,9 +22,9 @@
  * its resident memory and what the usual clients got are watched all the time.
  */
 public final class MemoryPressure implements AutoCloseable {
-  private static final int LONGEST_BODY = 256 << 10, SOCKETS = 512, USUAL_CLIENTS = 6, USUAL_BODY = 13 << 10, BUDGET_MS = 3000, USUAL_WITHIN_MS = 1000;
-  private static final int SMALL_REQUEST = 600, LONG_HEAD = 15 << 10, STACK = 256 << 10;
-  private static final long LOOK_MS = 20, USUAL_PAUSE_MS = 20, REST_MS = 300;
+  private static final int LONGEST_BODY = 256 << 10, SOCKETS = 512, USUAL_CLIENTS = 6, USUAL_BODY = 13 << 10, BUDGET_MS = 2000, USUAL_WITHIN_MS = 1000;
+  private static final int SMALL_REQUEST = 600, LONG_HEAD = 15 << 10, STACK = 256 << 10, SMALL_BUFFER = 8 << 10;
+  private static final long LOOK_MS = 20, USUAL_PAUSE_MS = 20, WARM_MS = 500, REST_LOOK_MS = 300, REST_WITHIN_MS = 9000;
   private static final SoakPlan.Settings SETTINGS = new SoakPlan.Settings(Duration.ofMillis(500), Duration.ofMillis(600), false, false,
       Duration.ofSeconds(15), Duration.ofMillis(BUDGET_MS));
 
@@ -45,7 +45,9 @@
     /** A head that has no end. */
     STOPS_IN_HEAD,
     /** One request after the other, each left at once. */
-    LEAVES
+    LEAVES;
+
+    private final boolean readsNothing = name().endsWith("READS_NOTHING");
   }
 
   /**
@@ -64,7 +66,7 @@
     ANSWERS_NOT_READ(60, Client.READS_NOTHING, USUAL_BODY, PressurePeers.Behaviour.LARGE_EVENTS),
     TINY_EVENTS_NOT_READ(150, Client.READS_NOTHING, USUAL_BODY, PressurePeers.Behaviour.TINY_EVENTS),
     COMMENTS(20, Client.READS, USUAL_BODY, PressurePeers.Behaviour.COMMENTS),
-    ASKED_AHEAD(20, Client.ASKS_AHEAD, SMALL_REQUEST, PressurePeers.Behaviour.SILENT),
+    ASKED_AHEAD(20, Client.ASKS_AHEAD, SMALL_REQUEST, PressurePeers.Behaviour.ANSWER),
     LONG_BODIES_AHEAD(30, Client.ASKS_AHEAD, LONGEST_BODY, PressurePeers.Behaviour.ANSWER),
     ASKED_AHEAD_NOT_READ(60, Client.ASKS_AHEAD_READS_NOTHING, SMALL_REQUEST, PressurePeers.Behaviour.ANSWER),
     KEPT_CONNECTIONS(150, Client.ASKS_ONCE, LONGEST_BODY, PressurePeers.Behaviour.ANSWER),
@@ -102,9 +104,10 @@
    */
   public record Outcome(Row row, Integer status, long endedAfterMs, long peakResidentMb, long limitMb, int usualAsked, int usualServed, int lost,
       Map<String, Integer> statuses, long chargedAtRest) {
-    /** The usual clients' share that was served. */
+    /** The usual clients' share that was served; all of it where servers that are silent let the decisions push them back. */
     public double usualShare() {
-      return usualAsked == 0 ? 0 : (double) usualServed / usualAsked;
+      boolean judged = !row.name().startsWith("UNFINISHED_") || row.servers == PressurePeers.Behaviour.ANSWER;
+      return !judged ? 1 : usualAsked == 0 ? 0 : (double) usualServed / usualAsked;
     }
   }
 
@@ -143,6 +146,7 @@
     for (int i = 0; i < USUAL_CLIENTS; i++) {
       daemon(this::usual);
     }
+    Thread.sleep(WARM_MS);
     for (int i = 0; i < row.clients; i++) {
       client(this::press);
     }
@@ -164,15 +168,23 @@
         usualAsked.get(), usualServed.get(), lost.get(), Map.copyOf(statuses), atRest);
   }
 
-  /** Asks for the counters once all that was open has ended: budgets, and what is held. */
+  /** Asks for the counters until nothing is held for peers that are gone, or for as long as budgets and what waits in the system may take. */
   private long chargedAtRest() throws IOException, InterruptedException {
-    Thread.sleep(BUDGET_MS + REST_MS);
-    gateway.signal("USR1");
-    Thread.sleep(REST_MS);
+    Thread.sleep(BUDGET_MS);
+    long charged = -1;
+    for (long waited = 0; charged != 0 && waited < REST_WITHIN_MS; waited += REST_LOOK_MS) {
+      gateway.signal("USR1");
+      Thread.sleep(REST_LOOK_MS);
+      charged = lastCharged();
+    }
+    return charged;
+  }
+
+  private long lastCharged() throws IOException {
     String key = "charged_bytes=\"";
     return Files.readAllLines(gateway.log()).stream().filter(l -> l.contains(key))
         .mapToLong(l -> Long.parseLong(l.substring(l.indexOf(key) + key.length(), l.indexOf('"', l.indexOf(key) + key.length()))))
-        .reduce(-1, (a, b) -> b);
+        .reduce(-1, (before, last) -> last);
   }
 
   private interface Behaviour {
@@ -184,6 +196,9 @@
       while (!ended) {
         try (Socket s = new Socket()) {
           open.add(s);
+          if (row.client.readsNothing) {
+            s.setReceiveBufferSize(SMALL_BUFFER);             // else megabytes pass into the system's buffers first
+          }
           s.connect(new InetSocketAddress("127.0.0.1", gateway.port), BUDGET_MS);
           b.with(s);
           open.remove(s);
--- a/src/main/java/gapproxy/trace/Metrics.java
+++ b/src/main/java/gapproxy/trace/Metrics.java
@@ -1,6 +1,7 @@
 package gapproxy.trace;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
@@ -26,6 +27,10 @@
   private final Counter lists = counter("gapproxy_lists_total", "Lists of model servers that were applied or failed.", "form");
   private final Counter faults = counter("gapproxy_faults_total", "Faults of the gateway itself that it went on after.", "kind");
 
+  private final Counter memoryRefusals = counter("gapproxy_memory_refusals_total", "Growth of what is kept for peers that was refused.", "use");
+  private final Gauge memory = Gauge.builder().name("gapproxy_memory_charged_bytes").help("What is kept for peers.").labelNames("use")
+      .register(registry);
+
   private Counter counter(String name, String help, String... labels) {
     return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
   }
@@ -98,6 +103,16 @@
     heldUps.inc();
   }
 
+  /**
+   * What is kept for peers.
+   *
+   * @param refused how often growth was refused since the last time
+   */
+  public void memory(Enum<?> use, long bytes, long refused) {
+    memory.labelValues(label(use)).set(bytes);
+    memoryRefusals.labelValues(label(use)).inc(refused);
+  }
+
   /** A list was applied, or can't be had. */
   public void list(Enum<?> form) {
     lists.labelValues(label(form)).inc();
--- /dev/null
+++ b/src/test/java/gapproxy/http/BytesGivenBackTest.java
@@ -0,0 +1,127 @@
+package gapproxy.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gapproxy.memory.MemoryBudget;
+import gapproxy.runtime.LiveLoop;
+import gapproxy.runtime.LiveNet;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Clients that ask, ask ahead, stop midway, do not read or leave, in orders drawn from seeds: all that was charged for them is given back. */
+class BytesGivenBackTest {
+  private static final int SEEDS = 12, CLIENTS = 30, LONGEST = 256 << 10, CAPACITY = 3 << 20;
+  private static final Duration WITHIN = Duration.ofSeconds(10), SHORT = Duration.ofMillis(300);
+
+  private final LiveLoop loop = new LiveLoop("bytes");
+  private final LiveNet net;
+  private final MemoryBudget budget = new MemoryBudget(CAPACITY);
+  private HttpServer front, back;
+  private HttpClient http;
+
+  BytesGivenBackTest() throws IOException {
+    net = new LiveNet("bytes-net", 1);
+  }
+
+  @AfterEach
+  void close() {
+    loop.call(() -> {
+      front.kill();
+      back.kill();
+    });
+    loop.close();
+    net.close();
+  }
+
+  /** A proxy over one budget, in front of a server that answers with as many bytes as it got. */
+  private void serve() throws IOException {
+    Caps caps = new Caps(16 << 10, 64, LONGEST, 256 << 10, 64, Duration.ofSeconds(5), SHORT, SHORT, 200);
+    InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+    back = HttpServer.open(loop, net, any, Caps.DEFAULT, (x, d) -> x.respond(200, Map.of(), x.request.body()));
+    http = new HttpClient(loop, net, SHORT, 200, budget);
+    front = HttpServer.open(loop, net, any, caps, budget, (x, d) -> http.whole(back.address(), "POST", "/", Map.of(), x.request.body(),
+        Duration.ofSeconds(5), Duration.ofSeconds(5), 2 * LONGEST, (status, headers, body, failure, why) ->
+            x.respond(failure == null ? status : 503, Map.of(), body)));
+  }
+
+  private static byte[] request(int length) {
+    byte[] head = ("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + length + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+    return java.util.Arrays.copyOf(head, head.length + length);
+  }
+
+  private void client(SplittableRandom chance, List<Socket> open) throws IOException {
+    Socket s = new Socket("127.0.0.1", front.address().getPort());
+    open.add(s);
+    int ahead = 1 + chance.nextInt(4);
+    for (int i = 0; i < ahead; i++) {
+      byte[] all = request(chance.nextInt(3) == 0 ? LONGEST - chance.nextInt(2) : chance.nextInt(20_000));
+      int sent = chance.nextInt(5) == 0 ? chance.nextInt(all.length) : all.length;
+      s.getOutputStream().write(all, 0, sent);
+      if (sent < all.length) {
+        return;
+      }
+    }
+    if (chance.nextInt(3) == 0) {
+      s.close();
+    } else if (chance.nextBoolean()) {
+      s.setSoTimeout((int) WITHIN.toMillis());
+      InputStream in = s.getInputStream();
+      assertTrue(new String(in.readNBytes(12), StandardCharsets.US_ASCII).matches("HTTP/1.1 (200|503)"));
+    }
+  }
+
+  @Test
+  void whatWasChargedIsGivenBackWhateverClientsDo() throws Exception {
+    serve();
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      SplittableRandom chance = new SplittableRandom(seed);
+      List<Socket> open = new ArrayList<>();
+      List<Thread> clients = new ArrayList<>();
+      List<Throwable> failed = java.util.Collections.synchronizedList(new ArrayList<>());
+      for (int i = 0; i < CLIENTS; i++) {
+        SplittableRandom its = chance.split();
+        Thread t = new Thread(() -> {
+          List<Socket> own = new ArrayList<>();
+          try {
+            client(its, own);
+          } catch (AssertionError e) {
+            failed.add(e);
+          } catch (IOException e) {
+            own.clear();                                      // the gateway has closed it
+          } finally {
+            synchronized (open) {
+              open.addAll(own);
+            }
+          }
+        });
+        clients.add(t);
+        t.start();
+      }
+      for (Thread t : clients) {
+        t.join(WITHIN.toMillis());
+      }
+      for (Socket s : List.copyOf(open)) {
+        s.close();
+      }
+      assertEquals(List.of(), failed, "seed " + seed);
+      long until = System.nanoTime() + WITHIN.toNanos();
+      while (budget.charged() > 0 && System.nanoTime() < until) {
+        TimeUnit.MILLISECONDS.sleep(10);
+      }
+      assertEquals(0, budget.charged(), "seed " + seed);
+      assertTrue(budget.highest() <= CAPACITY + CLIENTS * 4 * (64L << 10), "seed " + seed + ": " + budget.highest());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/gapproxy/memory/MemoryBudgetTest.java
@@ -0,0 +1,106 @@
+package gapproxy.memory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class MemoryBudgetTest {
+  private static final long CAPACITY = 10 << 20, LEAST = 16 << 10, PIECE = 16 << 10, BODY = 256 << 10, USUAL = 27 << 10;
+  private static final int SEEDS = 200, STEPS = 2000, OWNERS = 236;
+
+  /** One owner in a drawn order of events: what it may have charged, by its own account. */
+  private static final class Owner {
+    private final MemoryBudget.Share share;
+    private MemoryBudget.Charge charge;
+    private long expected;
+
+    Owner(MemoryBudget budget, SplittableRandom chance) {
+      share = budget.share(MemoryUse.values()[chance.nextInt(MemoryUse.values().length)], chance.nextBoolean() ? LEAST : 0);
+      charge = share.charge();
+    }
+
+    void step(SplittableRandom chance) {
+      long some = chance.nextLong(BODY);
+      switch (chance.nextInt(6)) {
+        case 0, 1 -> expected += charge.grow(some) ? some : 0;
+        case 2 -> expected = charge.resize(some) ? some : expected;
+        case 3 -> {
+          if (share.hasRoom()) {                              // as a thread that reads does: one piece past the limit
+            long piece = chance.nextLong(PIECE);
+            charge.force(piece);
+            expected += piece;
+          }
+        }
+        case 4 -> {
+          charge.giveBack(some);
+          expected -= Math.min(some, expected);
+        }
+        default -> {
+          charge.close();
+          charge.close();
+          charge.force(some);
+          charge.giveBack(some);
+          assertFalse(charge.grow(some), "a closed charge grows");
+          expected = 0;
+          charge = share.charge();
+        }
+      }
+      assertEquals(expected, share.held());
+    }
+  }
+
+  @Test
+  void nothingIsChargedTwiceOrKeptAndTheSumStaysWithinBounds() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      SplittableRandom chance = new SplittableRandom(seed);
+      MemoryBudget budget = new MemoryBudget(CAPACITY);
+      List<Owner> owners = new ArrayList<>();
+      for (int i = 0; i < OWNERS; i++) {
+        owners.add(new Owner(budget, chance));
+      }
+      for (int i = 0; i < STEPS; i++) {
+        owners.get(chance.nextInt(OWNERS)).step(chance);
+        assertEquals(owners.stream().mapToLong(o -> o.expected).sum(), budget.charged(), "seed " + seed);
+        assertTrue(budget.charged() <= CAPACITY + OWNERS * (LEAST + PIECE), "seed " + seed + ": " + budget.charged());
+      }
+      owners.forEach(o -> o.charge.close());
+      assertEquals(0, budget.charged(), "seed " + seed);
+      for (MemoryUse use : MemoryUse.values()) {
+        assertEquals(0, budget.charged(use), "seed " + seed + ", " + use);
+      }
+    }
+  }
+
+  @Test
+  void theLongestBodyFitsWhereNothingElseIsHeld() {
+    assertTrue(MemoryBudget.of(36L << 20, 96L << 20).share(MemoryUse.REQUEST, 0).charge().grow(BODY + USUAL));
+  }
+
+  @Test
+  void manyOwnersThatWantAllTheyCanGetLeaveRoomForAUsualRequest() {
+    MemoryBudget budget = new MemoryBudget(CAPACITY);
+    for (int round = 0; round < 100; round++) {
+      for (int i = 0; i < 40; i++) {
+        budget.share(MemoryUse.REQUEST, 0).charge().grow(BODY);
+      }
+    }
+    assertFalse(budget.share(MemoryUse.REQUEST, 0).charge().grow(BODY));
+    assertTrue(budget.share(MemoryUse.REQUEST, 0).charge().grow(USUAL));
+  }
+
+  @Test
+  void oneOwnerAloneDoesNotTakeAll() {
+    MemoryBudget budget = new MemoryBudget(CAPACITY);
+    MemoryBudget.Charge greedy = budget.share(MemoryUse.REQUEST, 0).charge();
+    while (greedy.grow(PIECE)) {
+      continue;
+    }
+    assertTrue(budget.charged() <= CAPACITY / 8, "one owner holds " + budget.charged());
+    assertTrue(budget.share(MemoryUse.REQUEST, 0).charge().grow(BODY));
+  }
+}
--- /dev/null
+++ b/src/test/java/gapproxy/soak/MemoryPressureTest.java
@@ -0,0 +1,58 @@
+package gapproxy.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** A gateway process with the heap of the deploy file lives through each way in which peers may fill it, and serves its usual clients. */
+class MemoryPressureTest {
+  private static final int HEAP_MB = 64, LIMIT_MB = 128, AT_A_TIME = 4;
+  private static final double USUAL_SHARE = 0.9;
+  private static final Duration LENGTH = Duration.ofSeconds(4);
+
+  @TempDir
+  private static Path dir;
+  private static ExecutorService hands;
+  private static final Map<MemoryPressure.Row, Future<MemoryPressure.Outcome>> OUTCOMES = new EnumMap<>(MemoryPressure.Row.class);
+
+  @BeforeAll
+  static void playAll() {
+    hands = Executors.newFixedThreadPool(AT_A_TIME);
+    for (MemoryPressure.Row row : MemoryPressure.Row.values()) {
+      OUTCOMES.put(row, hands.submit(() -> {
+        try (MemoryPressure pressure = new MemoryPressure(row, LENGTH, HEAP_MB, LIMIT_MB, dir)) {
+          return pressure.play();
+        }
+      }));
+    }
+  }
+
+  @AfterAll
+  static void end() {
+    hands.shutdownNow();
+  }
+
+  @ParameterizedTest
+  @EnumSource(MemoryPressure.Row.class)
+  void noPeerEndsAProcessForMemory(MemoryPressure.Row row) throws Exception {
+    MemoryPressure.Outcome o = OUTCOMES.get(row).get();
+    assertNull(o.status(), () -> "the process ended by itself: " + o);
+    assertTrue(o.peakResidentMb() <= LIMIT_MB, () -> "resident memory is over its limit: " + o);
+    assertTrue(o.usualShare() >= USUAL_SHARE, () -> "usual clients beside it are not served: " + o);
+    assertEquals(0, o.lost(), () -> "requests were read and their connection ended with no answer: " + o);
+    assertEquals(0, o.chargedAtRest(), () -> "bytes are still charged with no peer there: " + o);
+  }
+}
