A log that nobody reads holds up nothing

Related path of the memory incident: standard error is written by the loop, and where it is a pipe that nobody reads the loop waits for good and no client gets an answer. Lines are written by a thread of their own, 512 of them may wait, further ones are dropped while nothing can be written; at the process's end they have 0.2 s.

The test was red before: 200 reports by SIGUSR1 into an unread pipe, then GET /up without an answer for 10 s. Green after, and the process stops with 0.

--- a/src/main/java/gapproxy/cli/Exit.java
+++ b/src/main/java/gapproxy/cli/Exit.java
@@ -1,5 +1,6 @@
 package gapproxy.cli;
 
+import gapproxy.daemon.Logs;
 import java.time.Duration;
 import java.util.concurrent.locks.LockSupport;
 import org.slf4j.LoggerFactory;
@@ -44,7 +45,10 @@
    */
   static void fatal() {
     LockSupport.parkNanos(LAST_WRITES.toNanos());
-    System.err.flush();
-    Runtime.getRuntime().halt(FATAL);
+    try {
+      Logs.end();
+    } finally {
+      Runtime.getRuntime().halt(FATAL);
+    }
   }
 }
--- a/src/main/java/gapproxy/cli/NodeCommand.java
+++ b/src/main/java/gapproxy/cli/NodeCommand.java
@@ -64,6 +64,7 @@
     }
     started.countDown();
     stopped.await();
+    Logs.end();
     return 0;
   }
 
--- a/src/main/java/gapproxy/daemon/Logs.java
+++ b/src/main/java/gapproxy/daemon/Logs.java
@@ -32,6 +32,11 @@
     bridge();
   }
 
+  /** Writes what waits to be written, as far as somebody reads it; nothing is logged any longer. */
+  public static void end() {
+    ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+  }
+
   private static void set(Config.Log log) {
     System.setProperty("gapproxy.log.form", log.form());
     System.setProperty("gapproxy.log.level", log.level());
--- a/src/main/java/gapproxy/daemon/PlainLogs.java
+++ b/src/main/java/gapproxy/daemon/PlainLogs.java
@@ -1,5 +1,6 @@
 package gapproxy.daemon;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
@@ -15,6 +16,10 @@
  */
 public final class PlainLogs extends ContextAwareBase implements Configurator {
   static final String LEVEL = "gapproxy.log.plain";
+  /** Lines past which further ones are dropped while nothing can be written. */
+  private static final int LINES_WAITING = 512;
+  /** How long the last lines may take as the process ends. */
+  private static final int LAST_LINES_MS = 200;
 
   @Override
   public ExecutionStatus configure(LoggerContext context) {
@@ -31,8 +36,16 @@
     out.setTarget("System.err");
     out.setEncoder(encoder);
     out.start();
+    AsyncAppender behind = new AsyncAppender();               // a write to a pipe that nobody reads would hold up the loop
+    behind.setContext(context);
+    behind.setNeverBlock(true);
+    behind.setQueueSize(LINES_WAITING);
+    behind.setDiscardingThreshold(0);
+    behind.setMaxFlushTime(LAST_LINES_MS);
+    behind.addAppender(out);
+    behind.start();
     Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
-    root.addAppender(out);
+    root.addAppender(behind);
     root.setLevel(Level.toLevel(level, Level.WARN));
     context.getLogger("org.glassfish.grizzly.filterchain").setLevel(Level.ERROR); // tells of every peer that breaks the protocol
     return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
--- a/src/main/java/gapproxy/soak/GatewayProcess.java
+++ b/src/main/java/gapproxy/soak/GatewayProcess.java
@@ -31,6 +31,8 @@
   private final int heapMb;
   private List<String> environment = List.of();
   private Process process;
+  private volatile boolean endOrdered;
+  private boolean logUnread;
   private int starts;
 
   /** What a process holds. */
@@ -60,6 +62,11 @@
     throw new IOException("no port is free");
   }
 
+  /** What it logs goes to a pipe that nobody reads. */
+  void leaveLogUnread() {
+    logUnread = true;
+  }
+
   /** @param more variables of its next start, as NAME=VALUE */
   void environment(List<String> more) {
     environment = more;
@@ -86,7 +93,11 @@
     ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
     b.environment().put("LB_CONFIG", config().toString());
     environment.forEach(e -> b.environment().put(e.substring(0, e.indexOf('=')), e.substring(e.indexOf('=') + 1)));
+    if (logUnread) {
+      b.redirectOutput(ProcessBuilder.Redirect.PIPE);
+    }
     process = b.start();
+    endOrdered = false;
   }
 
   /** Whether it says that it is ready, within the time that a start may take. */
@@ -113,6 +124,7 @@
   }
 
   void signal(String signal) throws IOException, InterruptedException {
+    endOrdered |= signal.equals("TERM");
     new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
   }
 
@@ -129,7 +141,24 @@
     return process.waitFor(millis, TimeUnit.MILLISECONDS) ? process.exitValue() : null;
   }
 
+  /** How it ended, if it did and nobody told it to; else null. */
+  Integer endedByItself() {
+    return process == null || process.isAlive() || endOrdered ? null : process.exitValue();
+  }
+
+  /** What it says that it keeps for peers, when it was last asked by SIGUSR1; -1 if it did not say. */
+  long lastCharged() throws IOException {
+    String key = "charged_bytes=\"";
+    try (Stream<String> lines = Files.lines(log())) {
+      return lines.filter(l -> l.contains(key)).mapToLong(l -> {
+        int from = l.indexOf(key) + key.length();
+        return Long.parseLong(l.substring(from, l.indexOf('"', from)));
+      }).reduce(-1, (before, last) -> last);
+    }
+  }
+
   void kill() {
+    endOrdered = true;
     process.destroyForcibly();
     try {
       process.waitFor(5, TimeUnit.SECONDS);
--- a/src/main/java/gapproxy/soak/MemoryPressure.java
+++ b/src/main/java/gapproxy/soak/MemoryPressure.java
@@ -6,7 +6,6 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -25,7 +24,7 @@
   private static final int LONGEST_BODY = 256 << 10, SOCKETS = 512, USUAL_CLIENTS = 6, USUAL_BODY = 13 << 10, BUDGET_MS = 2000, USUAL_WITHIN_MS = 1000;
   private static final int SMALL_REQUEST = 600, LONG_HEAD = 15 << 10, STACK = 256 << 10, SMALL_BUFFER = 8 << 10;
   private static final long LOOK_MS = 20, USUAL_PAUSE_MS = 20, WARM_MS = 500, REST_LOOK_MS = 300, REST_WITHIN_MS = 9000;
-  private static final SoakPlan.Settings SETTINGS = new SoakPlan.Settings(Duration.ofMillis(500), Duration.ofMillis(600), false, false,
+  static final SoakPlan.Settings SETTINGS = new SoakPlan.Settings(Duration.ofMillis(500), Duration.ofMillis(600), false, false,
       Duration.ofSeconds(15), Duration.ofMillis(BUDGET_MS));
 
   /** What clients do. */
@@ -175,18 +174,11 @@
     for (long waited = 0; charged != 0 && waited < REST_WITHIN_MS; waited += REST_LOOK_MS) {
       gateway.signal("USR1");
       Thread.sleep(REST_LOOK_MS);
-      charged = lastCharged();
+      charged = gateway.lastCharged();
     }
     return charged;
   }
 
-  private long lastCharged() throws IOException {
-    String key = "charged_bytes=\"";
-    return Files.readAllLines(gateway.log()).stream().filter(l -> l.contains(key))
-        .mapToLong(l -> Long.parseLong(l.substring(l.indexOf(key) + key.length(), l.indexOf('"', l.indexOf(key) + key.length()))))
-        .reduce(-1, (before, last) -> last);
-  }
-
   private interface Behaviour {
     void with(Socket s) throws IOException;
   }
--- a/src/test/java/gapproxy/soak/MemoryPressureTest.java
+++ b/src/test/java/gapproxy/soak/MemoryPressureTest.java
@@ -13,13 +13,14 @@
 import java.util.concurrent.Future;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** A gateway process with the heap of the deploy file lives through each way in which peers may fill it, and serves its usual clients. */
 class MemoryPressureTest {
-  private static final int HEAP_MB = 64, LIMIT_MB = 128, AT_A_TIME = 4;
+  private static final int HEAP_MB = 64, LIMIT_MB = 128, AT_A_TIME = 4, REPORTS = 200;
   private static final double USUAL_SHARE = 0.9;
   private static final Duration LENGTH = Duration.ofSeconds(4);
 
@@ -55,4 +56,27 @@
     assertEquals(0, o.lost(), () -> "requests were read and their connection ended with no answer: " + o);
     assertEquals(0, o.chargedAtRest(), () -> "bytes are still charged with no peer there: " + o);
   }
+
+  /** Lines for a pipe that is full held up the loop for good. */
+  @Test
+  void aLogThatNobodyReadsHoldsUpNothing() throws Exception {
+    try (PressurePeers peers = new PressurePeers(false)) {
+      GatewayProcess gateway = new GatewayProcess("unread", dir);
+      gateway.configure(new GatewayConfig("unread", gateway.port, peers.discoveryPort(), 1, LIMIT_MB, 512, peers.hosts(), 1, 0,
+          MemoryPressure.SETTINGS, Duration.ofSeconds(2), "non_idempotent").json());
+      gateway.leaveLogUnread();
+      gateway.start();
+      try {
+        assertTrue(gateway.awaitReady());
+        for (int i = 0; i < REPORTS; i++) {
+          gateway.signal("USR1");
+        }
+        assertTrue(gateway.awaitReady(), "it does not answer any longer");
+        gateway.signal("TERM");
+        assertEquals(0, gateway.awaitEnd(LENGTH.toMillis()));
+      } finally {
+        gateway.kill();
+      }
+    }
+  }
 }
