Soak: sizes up to the protocol's limits, and each process watched all the time

Bodies up to 256 KiB, events up to 48 KB, clients that read nothing for up to 1.7 s or stop one byte before the end of the longest body join the troubles, drawn with a generator of their own. Resident memory allowed is 96, 128, 160 or 192 MB by seed, with a heap to fit. Each process is looked at every 50 ms: an end that nobody ordered and memory past its limit are finds; at rest nothing may be charged for peers that are gone.

--- a/src/main/java/gapproxy/soak/Soak.java
+++ b/src/main/java/gapproxy/soak/Soak.java
@@ -17,6 +17,8 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -34,7 +36,8 @@
   private static final Duration SETTLE = Duration.ofMillis(2700), MAY_REFUSE = Duration.ofMillis(700);
   private static final Duration SINGLY_EVERY = Duration.ofMillis(150), HARNESS_LATE = Duration.ofMillis(300);
   private static final double OF_OPEN_CONNECTIONS = 0.8, OF_THEM_SINGLY = 0.08, OF_A_ROLE = 0.8;
-  private static final int MEMORY_MB = 192, SOCKETS = 512;
+  private static final int SOCKETS = 512, LONG_BODY_CLIENTS = 150;
+  private static final long WATCH_EVERY_MS = 50, TOLD_WITHIN_MS = 500;
   private static final int ROLE_SILENCES = 3, CROWD = 300, SIGNAL_SERIES = 4;
   private static final long BETWEEN_SIGNALS_MS = 60;
   private static final int RULE_ON_HELD = 5;
@@ -80,7 +83,8 @@
   private final AtomicInteger killedWhileStopping = new AtomicInteger();
   private final AtomicInteger crowded = new AtomicInteger();  // connections of idle clients
   private final ExecutorService hands = Executors.newCachedThreadPool();
-  private final SplittableRandom chance;
+  private final SplittableRandom chance, sizeChance;
+  private volatile boolean stopping;
   private final List<GatewayProcess> gateways = new ArrayList<>();
   private final List<SoakClients.Front> fronts = new ArrayList<>();
   private final Hop[][] toServer;
@@ -111,6 +115,7 @@
     int servers = plan.readers() + plan.writers();
     proxy = new FaultProxy(plan.seed() + 4);
     chance = new SplittableRandom(plan.seed() + 3);
+    sizeChance = new SplittableRandom(plan.seed() + 8);
     toServer = new Hop[plan.gateways()][servers];
     toDiscovery = new Hop[plan.gateways()][2];
     discoveryInUse = new int[plan.gateways()];
@@ -132,6 +137,7 @@
       }
       clients.begin();
     });
+    hands.execute(this::watchProcesses);
     sleep(plan.length());
     onLoop(clients::end);
     sleep(plan.settings().longestBudget().plus(SETTLE));
@@ -166,6 +172,26 @@
     return late > HARNESS_LATE.toMillis() ? "the harness was late by " + late + " ms" : null;
   }
 
+  /** Ends that nobody ordered, and memory past its limit, at any time. */
+  private void watchProcesses() {
+    Set<GatewayProcess> told = new HashSet<>();
+    while (!Thread.interrupted() && !stopping) {
+      for (GatewayProcess p : gateways) {
+        Integer end = p.endedByItself();
+        String what = end != null ? p.name + " ended by itself with " + end
+            : p.peakResidentKb() > (long) plan.memoryMb() << 10 ? p.name + " took more than " + plan.memoryMb() + " MB" : null;
+        if (what != null && told.add(p)) {
+          loop.execute(() -> judge.broken(loop.now(), what));
+        }
+      }
+      try {
+        Thread.sleep(WATCH_EVERY_MS);
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
   private interface Work {
     void run() throws IOException;
   }
@@ -193,7 +219,7 @@
     site = new SoakSite(loop, net, plan, judge, (g, s) -> recent(serverTrouble[g][s]) || recent(gatewayTrouble[g]), id -> clients.seen(id), proxy::silence,
         plants.contains(Plant.WEAK_START) ? WEAK : rate / plan.readers(), plants);
     for (int g = 0; g < plan.gateways(); g++) {
-      gateways.add(new GatewayProcess(SoakSite.gatewayName(g), dir));
+      gateways.add(new GatewayProcess(SoakSite.gatewayName(g), dir, plan.heapMb()));
       for (SoakSite.Model m : site.models) {
         toServer[g][m.number] = proxy.hop(m.address(g));
         m.dial[g] = toServer[g][m.number].port();
@@ -221,7 +247,7 @@
   private String config(int g) {
     String effect = plants.contains(Plant.EFFECT_MISNAMED) ? "read_like" : "non_idempotent";
     return new GatewayConfig(SoakSite.gatewayName(g), gateways.get(g).port, toDiscovery[g][discoveryInUse[g]].port(), plan.seed() * 131 + g,
-        MEMORY_MB, SOCKETS, site.hosts(g), plan.gateways(), g % 2, plan.settings(), DRAIN_GRACE, effect).json();
+        plan.memoryMb(), SOCKETS, site.hosts(g), plan.gateways(), g % 2, plan.settings(), DRAIN_GRACE, effect).json();
   }
 
   private void startAll() throws IOException, InterruptedException {
@@ -270,6 +296,8 @@
     } else if (t.kind() == Kind.SERVERS_HANG) {
       Duration until = loop.now().plus(t.span());
       some(t.share()).forEach(m -> m.hungUntil = until);
+    } else if (t.kind().ofSizes()) {
+      sizes(t);
     } else if (t.kind().ofServers()) {
       hopsToServers(some(t.share()), t.span(), Mode.valueOf(t.kind().name().substring("SERVERS_".length())));
     } else if (t.kind() == Kind.CONNECTIONS_SILENT) {
@@ -291,6 +319,47 @@
     }
   }
 
+  private void sizes(Trouble t) {
+    switch (t.kind()) {
+      case SIZES_LONG_BODIES -> {
+        clients.longBodies = t.share();
+        loop.after(t.span(), () -> clients.longBodies = 0);
+      }
+      case SIZES_SLOW_READERS -> {
+        clients.slowReaders = t.share();
+        loop.after(t.span(), () -> clients.slowReaders = 0);
+      }
+      case SIZES_LONG_EVENTS -> {
+        site.longEvents = t.share();
+        loop.after(t.span(), () -> site.longEvents = 0);
+      }
+      default -> fronts.stream().filter(f -> f.open && sizeChance.nextDouble() < t.share())
+          .forEach(f -> hands.execute(() -> stopInLongBodies(f, t.span())));
+    }
+  }
+
+  private void stopInLongBodies(SoakClients.Front f, Duration span) {
+    String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: soak\r\nContent-Length: " + SoakClients.LONGEST_BODY + "\r\n\r\n";
+    byte[] text = Arrays.copyOf(head.getBytes(StandardCharsets.US_ASCII), head.length() + SoakClients.LONGEST_BODY - 1);
+    List<Socket> open = new ArrayList<>();
+    try {
+      for (int i = 0; i < LONG_BODY_CLIENTS; i++) {
+        Socket s = new Socket();
+        open.add(s);
+        s.connect(f.address, 1000);
+        s.getOutputStream().write(text);
+        crowded.incrementAndGet();
+      }
+      sleep(span);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (IOException e) {
+      return;                                                 // a gateway that stops refuses them
+    } finally {
+      open.forEach(Soak::closeQuietly);
+    }
+  }
+
   /** The first of each role is spared, so that there is always a server that can be reached. */
   private List<SoakSite.Model> some(double share) {
     return site.models.stream().filter(m -> m.number != 0 && m.number != plan.readers() && chance.nextDouble() < share).toList();
@@ -573,14 +642,23 @@
 
   // ---- the end
 
-  private List<String> resources() throws IOException {
+  private List<String> resources() throws IOException, InterruptedException {
     List<String> found = new ArrayList<>();
+    for (GatewayProcess p : gateways) {
+      if (p.alive()) {
+        p.signal("USR1");
+      }
+    }
+    Thread.sleep(TOLD_WITHIN_MS);
     for (int g = 0; g < gateways.size(); g++) {
       GatewayProcess p = gateways.get(g);
       if (!p.alive()) {
         found.add(p.name + " has crashed, see its log");
         continue;
       }
+      if (p.lastCharged() > 0) {
+        found.add(p.name + " keeps " + p.lastCharged() + " bytes for peers that are gone");
+      }
       GatewayProcess.Held now = p.held();
       GatewayProcess.Held then = before.get(g);
       if (now.descriptors() > then.descriptors() + DESCRIPTORS_MORE || now.threads() > then.threads() + THREADS_MORE) {
@@ -599,6 +677,7 @@
   }
 
   private void stopAll() throws IOException, InterruptedException {
+    stopping = true;
     for (GatewayProcess p : gateways) {
       if (p.alive()) {
         p.signal("TERM");
--- a/src/main/java/gapproxy/soak/SoakClients.java
+++ b/src/main/java/gapproxy/soak/SoakClients.java
@@ -41,6 +41,8 @@
       new RequestClass("pay", "non_replayable"));
   private static final Pattern EVENT_TIME = Pattern.compile("\"at\":(\\d+)");
   private static final Duration CONNECT = Duration.ofMillis(500);
+  static final int LONGEST_BODY = 256 << 10;
+  private static final int LONGEST_PAUSE_MS = 1500;
   private static final int LESS_MS = 800, NOT_SEEN_EVERY = 5;
   private static final double SHORTEST_BUDGET = 0.375;        // of the longest
   private static final Duration CROSSING = Duration.ofMillis(200); // within it a close may have crossed a request
@@ -49,7 +51,7 @@
   private final HttpClient kept, fresh;
   private final SoakJudge judge;
   private final List<Front> fronts;
-  private final SplittableRandom chance;
+  private final SplittableRandom chance, sizes;
   private final int longestMs;
   private final IntPredicate troubled;
   private final Set<Plant> plants;
@@ -58,6 +60,7 @@
   private final Map<String, Asked> byId = new HashMap<>();
   double rate;
   double leave;                                               // share of clients that close early
+  double longBodies, slowReaders;                             // shares of clients
   private boolean ended;
   private int open;
   private long asked;
@@ -75,6 +78,7 @@
     this.plants = plants;
     longestMs = (int) plan.settings().longestBudget().toMillis();
     chance = new SplittableRandom(plan.seed() + 2);
+    sizes = new SplittableRandom(plan.seed() + 9);
   }
 
   void begin() {
@@ -141,8 +145,7 @@
     }
 
     void send(HttpClient by) {
-      byte[] body = ("{\"model\":\"" + its.name + "\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\""
-          + "text ".repeat(chance.nextInt(200)) + "\"}]}").getBytes(StandardCharsets.UTF_8);
+      byte[] body = body();
       Map<String, String> headers = new HashMap<>(Map.of("req-id", id, "req-kind", its.name, "req-owner", "town", "req-key",
           Integer.toHexString(1 + chance.nextInt(40)), "req-deadline-ms", Integer.toString(budget), "req-extra",
           "prefix=" + Integer.toHexString(chance.nextInt(4) + 1) + ",prompt_len=" + (200 + chance.nextInt(3000)) + ",prefix_len=150,max_out=80"));
@@ -154,6 +157,26 @@
       call = by.call(front.address, "POST", "/v1/chat/completions", headers, body, CONNECT, this);
     }
 
+    private byte[] body() {
+      String begin = "{\"model\":\"" + its.name + "\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"";
+      String text = "text ".repeat(chance.nextInt(200));
+      String end = "\"}]}";
+      if (sizes.nextDouble() < longBodies) {
+        int most = LONGEST_BODY - begin.length() - end.length();
+        text = "x".repeat(sizes.nextBoolean() ? most : sizes.nextInt(most));
+      }
+      return (begin + text + end).getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Reads nothing for a while, which makes its events late by itself. */
+    private void readSlowly() {
+      if (sizes.nextDouble() < slowReaders) {
+        excused = true;
+        call.reading(false);
+        loop.after(Duration.ofMillis(200 + sizes.nextInt(LONGEST_PAUSE_MS)), () -> call.reading(true));
+      }
+    }
+
     @Override
     public void sent() {
       if (sent) {
@@ -200,6 +223,7 @@
       text.append(some);
       if (!begun) {
         begun = true;
+        readSlowly();
         judge.audit.firstToken(loop.now(), id, 0);
       }
       Matcher m = EVENT_TIME.matcher(some);
--- a/src/main/java/gapproxy/soak/SoakPlan.java
+++ b/src/main/java/gapproxy/soak/SoakPlan.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
 /**
  * What a soak plays: its settings and its troubles, all of it drawn from one seed.
@@ -40,7 +41,19 @@
     /** Connections that are open at one moment lose what servers say on them, for good; what gateways say passes. */
     ANSWERS_SILENT,
     /** Servers take requests and do not begin them, while they answer all else. */
-    SERVERS_HANG;
+    SERVERS_HANG,
+    /** Bodies of up to the longest that the protocol permits. */
+    SIZES_LONG_BODIES,
+    /** Events of up to tens of kilobytes. */
+    SIZES_LONG_EVENTS,
+    /** Clients that read nothing for up to some seconds. */
+    SIZES_SLOW_READERS,
+    /** Clients that stop one byte before the end of the longest body, and stay. */
+    SIZES_UNFINISHED_BODIES;
+
+    boolean ofSizes() {
+      return name().startsWith("SIZES_");
+    }
 
     boolean ofServers() {
       return name().startsWith("SERVERS_");
@@ -110,6 +123,9 @@
   private static final Duration QUIET = Duration.ofSeconds(4); // first, so that all is warm and connected
   private static final Duration LAST = Duration.ofSeconds(3); // at the end, so that what was late shows
   private static final Duration EVERY = Duration.ofMillis(3500);
+  private static final double SIZES_SHARE = 0.4;              // of the moments at which each kind of sizes may begin
+  private static final int[] MEMORY_MB = {96, 128, 160, 192};
+  private static final int BESIDE_HEAP_MB = 60;
   private static final int[] RELEASES_MS = {250, 500, 500, 1000}, BUDGETS_MS = {1000, 2200, 4000};
 
   /** Draws a plan. */
@@ -124,17 +140,44 @@
       int together = 2 + chance.nextInt(2);
       for (int i = 0; i < together; i++) {
         if (left.isEmpty()) {
-          left.addAll(List.of(Kind.values()));
+          left.addAll(Stream.of(Kind.values()).filter(k -> !k.ofSizes()).toList());
         }
         Kind kind = left.remove(chance.nextInt(left.size()));
         Duration begins = at.plusMillis(chance.nextInt(800));
         troubles.add(new Trouble(kind, begins, Duration.ofMillis(500 + chance.nextInt(2500)), 0.15 + 0.5 * chance.nextDouble()));
       }
     }
+    troubles.addAll(drawSizes(seed, length));
     troubles.sort(Comparator.comparing(Trouble::at));
     return new SoakPlan(seed, gateways, 6, 6, length, settings, Peers.draw(seed), List.copyOf(troubles));
   }
 
+  /** With a generator of their own: what else a seed plays does not depend on them. */
+  private static List<Trouble> drawSizes(long seed, Duration length) {
+    SplittableRandom chance = new SplittableRandom(seed + 6);
+    List<Kind> kinds = Stream.of(Kind.values()).filter(Kind::ofSizes).toList();
+    List<Trouble> troubles = new ArrayList<>();
+    for (Duration at = QUIET; at.compareTo(length.minus(LAST)) < 0; at = at.plus(EVERY)) {
+      for (Kind kind : kinds) {
+        if (chance.nextDouble() < SIZES_SHARE) {
+          troubles.add(new Trouble(kind, at.plusMillis(chance.nextInt(800)), Duration.ofMillis(1000 + chance.nextInt(2000)),
+              0.3 + 0.6 * chance.nextDouble()));
+        }
+      }
+    }
+    return troubles;
+  }
+
+  /** Resident memory that each gateway is allowed, in MB. */
+  int memoryMb() {
+    return MEMORY_MB[new SplittableRandom(seed + 7).nextInt(MEMORY_MB.length)];
+  }
+
+  /** A heap that fits the memory allowed. */
+  int heapMb() {
+    return Math.min(GatewayProcess.HEAP_MB, memoryMb() - BESIDE_HEAP_MB);
+  }
+
   /** The pairs of troubles that overlap. */
   public Set<String> pairs() {
     Set<String> pairs = new TreeSet<>();
--- a/src/main/java/gapproxy/soak/SoakSite.java
+++ b/src/main/java/gapproxy/soak/SoakSite.java
@@ -32,14 +32,15 @@
       OLD = Duration.ofMillis(400), LOOK = Duration.ofMillis(20);
   private static final Duration CLOSED_JUST_NOW = Duration.ofMillis(30);
   private static final double HELD_THOUGH_NOT_KNOWN = 0.5, NO_ROOM = 0.1, ODD_THAT_FAIL = 0.5, FAILED_READS_THAT_LEAVE_A_STATE = 0.5; // shares
-  private static final int EVENTS = 12;
+  private static final int EVENTS = 12, LONGEST_CONTENT = 48 << 10;
   static final Duration WARM_UP = Duration.ofSeconds(10), FALL = Duration.ofSeconds(2);
   static final double START_CAPACITY = 0.25, TIP_MULTIPLE = 4;
 
   private final Loop loop;
   private final SoakJudge judge;
   private final SoakPlan.Settings settings;
-  private final SplittableRandom chance;
+  private final SplittableRandom chance, sizes;
+  double longEvents;                                          // share of events
   private final BiPredicate<Integer, Integer> delayed;
   private final Consumer<String> seen;
   private final IntFunction<FaultProxy.Silence> silence;
@@ -71,6 +72,7 @@
     this.plants = plants;
     this.ratePerServer = ratePerServer;
     chance = new SplittableRandom(plan.seed() + 1);
+    sizes = new SplittableRandom(plan.seed() + 10);
     peers = plan.peers();
     for (int i = 0; i < plan.readers() + plan.writers(); i++) {
       models.add(new Model(i, i < plan.readers(), net, plan.gateways()));
@@ -330,6 +332,10 @@
       });
     }
 
+    private String content() {
+      return "w".repeat(sizes.nextDouble() < longEvents ? 1 + sizes.nextInt(LONGEST_CONTENT) : 1);
+    }
+
     private void event(Exchange x, String id, int mine, int n) {
       if (!x.open() || life != mine) {
         ended(x, id);
@@ -339,7 +345,7 @@
           models.forEach(m -> m.release(id, true));           // the first event releases what was held meanwhile
         }
         Duration written = loop.now().minus(plants.contains(Plant.OLD_EVENTS) ? OLD : Duration.ZERO);
-        x.write("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"w\"},\"finish_reason\":null}],\"at\":"
+        x.write("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + content() + "\"},\"finish_reason\":null}],\"at\":"
             + written.toNanos() / 1000 + "}\n\n");
         loop.after(EVENT, () -> event(x, id, mine, n + 1));
       } else {
