Discovery's stand-in sends useless lists that are whole, too; connections lost as they come up

Behind each list it sends changes that name nothing: whole ones of 1.9 MB in the shortest values, and ones without end.

A connection to a server that ended before the client knew it as its own was never counted as closed, and so were its bytes.

--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -320,7 +320,7 @@
             w.heardAt = w.openedAt;
             giveUp = null;
             w.counted = true;
-            if (w.gone) {
+            if (w.gone || !c.isOpen()) {                      // it may have ended before it was known as ours
               w.closed();
             }
             if (over) {
--- a/src/main/java/gapproxy/soak/PressurePeers.java
+++ b/src/main/java/gapproxy/soak/PressurePeers.java
@@ -14,6 +14,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Model servers and discovery for {@link MemoryPressure}, on a thread for each connection: they send as fast as they are read. What a server
@@ -22,7 +23,8 @@
 final class PressurePeers implements AutoCloseable {
   static final String BEHAVIOUR = "x-behaviour";
   private static final int READERS = 4, SERVERS = 8, BACKLOG = 512, PIECE = 32 << 10;
-  private static final long SIGN_OF_LIFE_MS = 2000;
+  private static final int WHOLE_LIST = 1900 << 10, ENDLESS_LIST = 4 << 20;
+  private static final long SIGN_OF_LIFE_MS = 2000, USELESS_EVERY_MS = 50;
   private static final String EVENT = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"%s\"},\"finish_reason\":null}]}\n\n";
   private static final String LAST_EVENTS = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":900,\"completion_tokens\":9,"
       + "\"prompt_tokens_details\":{\"cached_tokens\":128}}}\n\ndata: [DONE]\n\n";
@@ -57,10 +59,11 @@
 
   private final List<ServerSocket> listening = new ArrayList<>();
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger calls = new AtomicInteger();    // useless lists sent
   private final boolean floodedDiscovery;
   private final ServerSocket discovery;
 
-  /** @param floodedDiscovery whether discovery sends objects that are long and of no use */
+  /** @param floodedDiscovery whether discovery sends long changes of no use behind each list */
   PressurePeers(boolean floodedDiscovery) throws IOException {
     this.floodedDiscovery = floodedDiscovery;
     for (int i = 0; i < SERVERS; i++) {
@@ -127,26 +130,29 @@
     }
     OutputStream out = s.getOutputStream();
     out.write(ascii("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"));
-    if (floodedDiscovery) {
-      flood(out);
-    }
     for (;;) {
-      chunk(out, ascii(floodedDiscovery ? "\n" : hosts() + "\n"));
+      chunk(out, ascii(hosts() + "\n"));
+      if (floodedDiscovery) {
+        uselessList(out, calls.incrementAndGet() % 2 == 0);
+      }
       try {
-        Thread.sleep(SIGN_OF_LIFE_MS);
+        Thread.sleep(floodedDiscovery ? USELESS_EVERY_MS : SIGN_OF_LIFE_MS);
       } catch (InterruptedException e) {
         return;
       }
     }
   }
 
-  /** An object of 4 MB less some bytes that never ends: each call gets one. */
-  private static void flood(OutputStream out) throws IOException {
+  /** Changes that name nothing, in the shortest values that there are: whole, or longer than any list and without end. */
+  private static void uselessList(OutputStream out, boolean whole) throws IOException {
     byte[] piece = ascii("{},".repeat(PIECE / 3));
-    chunk(out, ascii("{\"seq\":1,\"whole\":true,\"hosts\":["));
-    for (int sent = 0; sent + piece.length < (4 << 20) - PIECE; sent += piece.length) {
+    chunk(out, ascii("{\"seq\":1,\"whole\":false,\"hosts\":["));
+    for (int sent = 0; sent < (whole ? WHOLE_LIST : ENDLESS_LIST); sent += piece.length) {
       chunk(out, piece);
     }
+    if (whole) {
+      chunk(out, ascii("{}]}\n"));
+    }
   }
 
   private void serve(Socket s, boolean reader) throws IOException {
