--- a/src/main/java/gapproxy/soak/Soak.java
+++ b/src/main/java/gapproxy/soak/Soak.java
@@ -338,7 +338,9 @@
     }
   }
 
+  /** Not through the proxy: tens of megabytes would hold up there what belongs to others. */
   private void stopInLongBodies(SoakClients.Front f, Duration span) {
+    InetSocketAddress direct = new InetSocketAddress("127.0.0.1", gateways.get(f.gateway).port);
     String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: soak\r\nContent-Length: " + SoakClients.LONGEST_BODY + "\r\n\r\n";
     byte[] text = Arrays.copyOf(head.getBytes(StandardCharsets.US_ASCII), head.length() + SoakClients.LONGEST_BODY - 1);
     List<Socket> open = new ArrayList<>();
@@ -346,7 +348,7 @@
       for (int i = 0; i < LONG_BODY_CLIENTS; i++) {
         Socket s = new Socket();
         open.add(s);
-        s.connect(f.address, 1000);
+        s.connect(direct, 1000);
         s.getOutputStream().write(text);
         crowded.incrementAndGet();
       }
