Soak: long messages trickle in pieces; the account's highest is checked in each row

Messages up to 4 KiB trickle byte by byte as before.

MemoryPressureTest holds that the account never passes its capacity by more than one piece of 16 KiB a connection.

--- a/src/main/java/gapproxy/memory/MemoryBudget.java
+++ b/src/main/java/gapproxy/memory/MemoryBudget.java
@@ -85,6 +85,7 @@
     return refusals.get(use);
   }
 
+  /** Bytes that may be charged. */
   public long capacity() {
     return capacity;
   }
@@ -134,6 +135,7 @@
       }
     }
 
+    /** What it holds now. */
     public long held() {
       synchronized (MemoryBudget.this) {
         return held;
--- a/src/main/java/gapproxy/soak/FaultProxy.java
+++ b/src/main/java/gapproxy/soak/FaultProxy.java
@@ -45,6 +45,7 @@
   }
 
   private static final int BUFFER = 16 << 10;
+  private static final int SINGLY = 4 << 10, PIECES = 512;    // bytes that trickle one by one; pieces of what is longer
   private static final long LATE_NANOS = 120_000_000L;
   private static final long LOOK_MILLIS = 5;
   private static final long CUT_NANOS = 2_000_000L;           // behind the last byte of a request
@@ -424,11 +425,12 @@
     if (l.hop.mode == Mode.TRICKLE) {
       injected.addAndGet(b.remaining());
       while (b.hasRemaining()) {
-        ByteBuffer one = b.slice(b.position(), 1);
-        if (w.to.write(one) == 0) {
+        int step = Math.min(b.remaining(), b.limit() <= SINGLY ? 1 : b.limit() / PIECES);
+        int n = w.to.write(b.slice(b.position(), step));
+        if (n == 0) {
           return false;
         }
-        b.position(b.position() + 1);
+        b.position(b.position() + n);
       }
       return true;
     }
--- a/src/main/java/gapproxy/soak/GatewayProcess.java
+++ b/src/main/java/gapproxy/soak/GatewayProcess.java
@@ -148,9 +148,18 @@
 
   /** What it says that it keeps for peers, when it was last asked by SIGUSR1; -1 if it did not say. */
   long lastCharged() throws IOException {
-    String key = "charged_bytes=\"";
+    return lastFigure("charged_bytes");
+  }
+
+  /** By how much it was ever over the capacity of its account of bytes, as far as it said; less than 0 if it was not. */
+  long overCapacity() throws IOException {
+    return lastFigure("highest") - lastFigure("capacity");
+  }
+
+  private long lastFigure(String name) throws IOException {
+    String key = " " + name + "=\"";
     try (Stream<String> lines = Files.lines(log())) {
-      return lines.filter(l -> l.contains(key)).mapToLong(l -> {
+      return lines.filter(l -> l.contains("MemoryReport") && l.contains(key)).mapToLong(l -> {
         int from = l.indexOf(key) + key.length();
         return Long.parseLong(l.substring(from, l.indexOf('"', from)));
       }).reduce(-1, (before, last) -> last);
--- a/src/main/java/gapproxy/soak/MemoryPressure.java
+++ b/src/main/java/gapproxy/soak/MemoryPressure.java
@@ -107,9 +107,11 @@
    * @param stalled streams without end of which their clients got nothing in the last second
    * @param statuses what the peers got, with counts
    * @param chargedAtRest bytes that the process says it still holds for peers that are gone, or -1
+   * @param overCapacity by how much its account was ever over its capacity; less than 0 if it was not
    */
   public record Outcome(Row row, Integer status, long endedAfterMs, long peakResidentMb, long limitMb, int usualAsked, int usualServed, int lost,
-      int stalled, Map<String, Integer> statuses, long chargedAtRest) {
+      int stalled, Map<String, Integer> statuses, long chargedAtRest,
+      long overCapacity) {
     /** The usual clients' share that was served; all of it where servers that are silent let the decisions push them back. */
     public double usualShare() {
       boolean judged = !row.name().startsWith("UNFINISHED_") || row.servers == PressurePeers.Behaviour.ANSWER;
@@ -174,7 +176,7 @@
     }
     long atRest = endedAfter < 0 ? chargedAtRest() : -1;
     return new Outcome(row, endedAfter < 0 ? null : gateway.awaitEnd(1000), endedAfter, peakKb >> 10, limitMb,
-        usualAsked.get(), usualServed.get(), lost.get(), stalled, Map.copyOf(statuses), atRest);
+        usualAsked.get(), usualServed.get(), lost.get(), stalled, Map.copyOf(statuses), atRest, endedAfter < 0 ? gateway.overCapacity() : -1);
   }
 
   /** Asks for the counters until nothing is held for peers that are gone, or for as long as budgets and what waits in the system may take. */
--- a/src/test/java/gapproxy/soak/MemoryPressureTest.java
+++ b/src/test/java/gapproxy/soak/MemoryPressureTest.java
@@ -21,6 +21,7 @@
 /** A gateway process with the heap of the deploy file lives through each way in which peers may fill it, and serves its usual clients. */
 class MemoryPressureTest {
   private static final int HEAP_MB = 64, LIMIT_MB = 128, AT_A_TIME = 5, REPORTS = 200;
+  private static final long CONNECTIONS = 2 * 236, PIECE_BYTES = 16 << 10; // to clients and servers; read past a share's limit
   private static final double USUAL_SHARE = 0.9;
   private static final Duration LENGTH = Duration.ofSeconds(3);
 
@@ -53,6 +54,7 @@
     assertNull(o.status(), () -> "the process ended by itself: " + o);
     assertTrue(o.peakResidentMb() <= LIMIT_MB, () -> "resident memory is over its limit: " + o);
     assertTrue(o.usualShare() >= USUAL_SHARE, () -> "usual clients beside it are not served: " + o);
+    assertTrue(o.overCapacity() <= CONNECTIONS * PIECE_BYTES, () -> "more is kept than there is room for: " + o);
     assertTrue(o.stalled() == 0 || !row.endlessStreams(), () -> "streams that come have stalled: " + o);
     assertEquals(0, o.lost(), () -> "requests were read and their connection ended with no answer: " + o);
     assertEquals(0, o.chargedAtRest(), () -> "bytes are still charged with no peer there: " + o);
