--- a/src/main/java/gapproxy/soak/FaultProxy.java
+++ b/src/main/java/gapproxy/soak/FaultProxy.java
@@ -45,7 +45,7 @@
   }
 
   private static final int BUFFER = 16 << 10;
-  private static final int SINGLY = 4 << 10, PIECES = 512;    // bytes that trickle one by one; pieces of what is longer
+  private static final int SINGLY = 2 << 10, PIECES = 256;    // bytes that trickle one by one; pieces of what is longer
   private static final long LATE_NANOS = 120_000_000L;
   private static final long LOOK_MILLIS = 5;
   private static final long CUT_NANOS = 2_000_000L;           // behind the last byte of a request
--- a/src/main/java/gapproxy/soak/Soak.java
+++ b/src/main/java/gapproxy/soak/Soak.java
@@ -340,26 +340,9 @@
 
   /** Not through the proxy: tens of megabytes would hold up there what belongs to others. */
   private void stopInLongBodies(SoakClients.Front f, Duration span) {
-    InetSocketAddress direct = new InetSocketAddress("127.0.0.1", gateways.get(f.gateway).port);
     String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: soak\r\nContent-Length: " + SoakClients.LONGEST_BODY + "\r\n\r\n";
-    byte[] text = Arrays.copyOf(head.getBytes(StandardCharsets.US_ASCII), head.length() + SoakClients.LONGEST_BODY - 1);
-    List<Socket> open = new ArrayList<>();
-    try {
-      for (int i = 0; i < LONG_BODY_CLIENTS; i++) {
-        Socket s = new Socket();
-        open.add(s);
-        s.connect(direct, 1000);
-        s.getOutputStream().write(text);
-        crowded.incrementAndGet();
-      }
-      sleep(span);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    } catch (IOException e) {
-      return;                                                 // a gateway that stops refuses them
-    } finally {
-      open.forEach(Soak::closeQuietly);
-    }
+    byte[] unfinished = Arrays.copyOf(head.getBytes(StandardCharsets.US_ASCII), head.length() + SoakClients.LONGEST_BODY - 1);
+    stay(new InetSocketAddress("127.0.0.1", gateways.get(f.gateway).port), LONG_BODY_CLIENTS, unfinished, span);
   }
 
   /** The first of each role is spared, so that there is always a server that can be reached. */
@@ -403,24 +386,28 @@
   /** Clients that connect and say nothing, and take the gateway's descriptors. */
   private void crowd(SoakClients.Front f, Duration span) {
     f.crowdedUntil = later(f.crowdedUntil, loop.now().plus(span).plus(AFTERMATH));
-    hands.execute(() -> {
-      List<Socket> idle = new ArrayList<>();
-      try {
-        for (int i = 0; i < CROWD; i++) {
-          Socket s = new Socket();
-          idle.add(s);
-          s.connect(f.address, 1000);
-          crowded.incrementAndGet();
-        }
-        sleep(span);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      } catch (IOException e) {
-        return;                                               // a gateway that stops refuses them
-      } finally {
-        idle.forEach(Soak::closeQuietly);
+    hands.execute(() -> stay(f.address, CROWD, new byte[0], span));
+  }
+
+  /** Connections that say something, or nothing, and stay open for a while. */
+  private void stay(InetSocketAddress at, int connections, byte[] said, Duration span) {
+    List<Socket> open = new ArrayList<>();
+    try {
+      for (int i = 0; i < connections; i++) {
+        Socket s = new Socket();
+        open.add(s);
+        s.connect(at, 1000);
+        s.getOutputStream().write(said);
+        crowded.incrementAndGet();
       }
-    });
+      sleep(span);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (IOException e) {
+      return;                                                 // a gateway that stops refuses them
+    } finally {
+      open.forEach(Soak::closeQuietly);
+    }
   }
 
   private static void closeQuietly(Socket s) {
