--- a/src/main/java/gapproxy/soak/FaultProxy.java
+++ b/src/main/java/gapproxy/soak/FaultProxy.java
@@ -44,7 +44,7 @@
     CONNECT_LATE
   }
 
-  private static final int BUFFER = 16 << 10;
+  private static final int BUFFER = 16 << 10, MOST_PIECES = 16;
   private static final int SINGLY = 2 << 10, PIECES = 256;    // bytes that trickle one by one; pieces of what is longer
   private static final long LATE_NANOS = 120_000_000L;
   private static final long LOOK_MILLIS = 5;
@@ -354,12 +354,21 @@
     }
   }
 
+  /** Takes what has come, up to the longest body: one piece at each turn would hold that up by seconds. */
   private void read(Link l, Way w) throws IOException {
+    int pieces = 0;
+    while (readPiece(l, w) == BUFFER && pieces < MOST_PIECES) {
+      pieces++;
+    }
+  }
+
+  /** Reads one piece, and answers how long it was. */
+  private int readPiece(Link l, Way w) throws IOException {
     ByteBuffer b = ByteBuffer.allocate(BUFFER);
     int n = w.from.read(b);
     if (n < 0 && w == l.up && System.nanoTime() < l.passesFrom) {
       l.reset();                                              // given up before it had come up, so nothing was sent on it
-      return;
+      return n;
     }
     if (n < 0) {
       w.ended = true;
@@ -368,11 +377,11 @@
       if (k != null) {
         k.interestOps(k.interestOps() & ~SelectionKey.OP_READ);
       }
-      return;
+      return n;
     }
     if (w == l.down && l.answersLost) {
       injected.addAndGet(n);
-      return;
+      return n;
     }
     l.moved = System.nanoTime();
     w.bytes += n;
@@ -384,6 +393,7 @@
       injected.addAndGet(n);
     }
     w.pieces.add(new Piece(b.flip(), due));
+    return n;
   }
 
   /** Writes what is due, and ends what has ended. */
