New connections are accepted together, not one for each turn of the reads

Cause: the transport accepts one connection for each turn of the selector, and in each turn reads 16 KiB from every connection before it. Behind a burst of long bodies a new connection was accepted, and its request read, up to 1.2 s late; its servers were told too much time.

Change: at an event of a listening socket all that wait are accepted, 64 at most, before others are read from again.

--- a/src/main/java/gapproxy/runtime/LiveNet.java
+++ b/src/main/java/gapproxy/runtime/LiveNet.java
@@ -29,11 +29,11 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 
 /** Connections over TCP by Grizzly. */
 public final class LiveNet implements Net, AutoCloseable {
   private final TCPNIOTransport transport;
+  private final BatchAcceptStrategy strategy = new BatchAcceptStrategy();
 
   /** @param selectors threads that read, decode and write what could not be written at once */
   public LiveNet(String name, int selectors) throws IOException {
@@ -42,13 +42,14 @@
 
   /** @param socketBuffer bytes of the system's buffers of each connection, each way; 0 leaves them to the system */
   public LiveNet(String name, int selectors, int socketBuffer) throws IOException {
-    transport = TCPNIOTransportBuilder.newInstance().setName(name).setIOStrategy(SameThreadIOStrategy.getInstance())
+    transport = TCPNIOTransportBuilder.newInstance().setName(name).setIOStrategy(strategy)
         .setSelectorRunnersCount(selectors).setReuseAddress(true).setTcpNoDelay(true).setKeepAlive(true)
         .setServerConnectionBackLog(4096).setReadBufferSize(32 << 10).build();
     transport.getAsyncQueueIO().getWriter().setMaxPendingBytesPerConnection(-1); // bounded above, by its owner
     if (socketBuffer > 0) {
       transport.setChannelConfigurator(new SmallBuffers(transport.getChannelConfigurator(), socketBuffer));
     }
+    transport.getConnectionMonitoringConfig().addProbes(strategy.probe());
     transport.start();
   }
 
@@ -89,10 +90,12 @@
       @Override
       public void close() {
         server.closeSilently();
+        strategy.closed(server);
       }
 
       @Override
       public void accepting(boolean on) {
+        strategy.accepting(server, on);
         try {
           if (on) {
             server.enableIOEvent(IOEvent.SERVER_ACCEPT);
--- /dev/null
+++ b/src/test/java/gapproxy/runtime/LiveNetTest.java
@@ -0,0 +1,88 @@
+package gapproxy.runtime;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.junit.jupiter.api.Test;
+
+class LiveNetTest {
+  private static final int CLIENTS = 100, BYTES = 256 << 10, WITHIN_SECONDS = 10;
+  private static final int TURNS = 4;                         // of the selector, for all of the clients together
+
+  /** Holds the reading thread at the first read until told; counts the reads of each connection before the last was accepted. */
+  private static final class Gate extends BaseFilter {
+    private final CountDownLatch held = new CountDownLatch(1), release = new CountDownLatch(1), accepted = new CountDownLatch(CLIENTS + 1);
+    private final Map<Connection<?>, Integer> reads = new ConcurrentHashMap<>();
+
+    @Override
+    public NextAction handleAccept(FilterChainContext ctx) {
+      accepted.countDown();
+      return ctx.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+      held.countDown();
+      try {
+        release.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      if (accepted.getCount() > 0) {
+        reads.merge(ctx.getConnection(), 1, Integer::sum);
+      }
+      return ctx.getStopAction();
+    }
+  }
+
+  /** Behind 150 clients with long bodies a new connection was accepted, and so its request read, up to 1.2 s late. */
+  @Test
+  void newConnectionsAreNotAcceptedLateBehindThoseThatSend() throws Exception {
+    Gate gate = new Gate();
+    List<Socket> clients = new ArrayList<>();
+    try (LiveNet net = new LiveNet("net", 1)) {
+      Net.Port port = net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), () -> List.of(gate));
+      clients.add(client(port, 1));
+      assertTrue(gate.held.await(WITHIN_SECONDS, TimeUnit.SECONDS));
+      for (int i = 0; i < CLIENTS; i++) {
+        clients.add(client(port, BYTES));
+      }
+      gate.release.countDown();
+      assertTrue(gate.accepted.await(WITHIN_SECONDS, TimeUnit.SECONDS));
+      int most = gate.reads.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+      assertTrue(most <= TURNS, "a connection was read " + most + " times before the last one was accepted");
+    } finally {
+      for (Socket s : clients) {
+        s.close();
+      }
+    }
+  }
+
+  /** Connects, and sends from a thread of its own. */
+  private static Socket client(Net.Port port, int bytes) throws Exception {
+    Socket s = new Socket();
+    s.connect(port.address());
+    Thread sender = new Thread(() -> {
+      try {
+        s.getOutputStream().write(new byte[bytes]);
+      } catch (java.io.IOException e) {
+        return;                                               // the test is over
+      }
+    });
+    sender.setDaemon(true);
+    sender.start();
+    return s;
+  }
+}
