The time that a request takes to be decoded counts as its waiting

Cause: the moment of arrival was taken after its own form had been made, so a server was told that much too much of the client's time.

--- a/src/main/java/gapproxy/http/ServerConnection.java
+++ b/src/main/java/gapproxy/http/ServerConnection.java
@@ -124,6 +124,7 @@
   }
 
   private void whole(HttpRequestPacket p) {
+    Duration at = loop.now();
     ArrivingRequest whole = arriving;
     packet = null;
     arriving = null;
@@ -141,7 +142,6 @@
     HttpRequest request = new HttpRequest(p.getMethod().getMethodString(), p.getRequestURI(), p.getQueryString(),
         HttpRequest.headers(p.getHeaders()), whole.body());
     Object decoded = server.handler().decode(request);
-    Duration at = loop.now();
     loop.execute(() -> {
       handled++;
       arrived(whole.charge(), () -> serve(p, request, whole.charge(), decoded, at));
--- a/src/test/java/gapproxy/http/ServerCrossingsTest.java
+++ b/src/test/java/gapproxy/http/ServerCrossingsTest.java
@@ -248,6 +248,18 @@
     g.countDown();
   }
 
+  /** A server was told too much time where the request's own form took long to make. */
+  @Test
+  void decodingCountsAsWaiting() throws Exception {
+    readButNotWithTheLoop();
+    new CountDownLatch(1).await(SHORT.toMillis(), TimeUnit.MILLISECONDS);
+    openTheGate();
+    assertTrue(holds(() -> exchanges.size() == 2));
+    Duration waited = exchanges.get(1).waited();
+    assertTrue(waited.compareTo(SHORT) >= 0, waited.toString());
+    loop.call(() -> answer(exchanges.get(1)));
+  }
+
   @Test
   void drainXRequestReadButNotWithTheLoopIsAnswered() throws Exception {
     Socket s = readButNotWithTheLoop();
