What comes after a refused request is discarded at once, so that its client's end is seen

Cause: after 413 the rest of the body was read 16 KiB a turn, through the filters, though nobody wants it.

Change: a connection of which nothing is wanted any more is read to its end below the filters, 256 KiB a turn; 32 connections, not 64, are accepted together.

--- a/src/main/java/gapproxy/http/ServerConnection.java
+++ b/src/main/java/gapproxy/http/ServerConnection.java
@@ -150,7 +150,7 @@
 
   /** Answers a request that can't be read, behind those that were read before it; nothing more is read. */
   void refuse(int status, String what) {
-    discarding = true;
+    discardInput();
     received++;
     MemoryBudget.Charge none = requests.charge();
     if (arriving != null) {
@@ -162,6 +162,11 @@
     });
   }
 
+  private void discardInput() {
+    discarding = true;
+    net.discardInput(connection);
+  }
+
   /** Whether a request that was read before has not been answered yet. */
   boolean owesAnswers() {
     return received != answered;
@@ -295,7 +300,7 @@
         });
         return;
       }
-      discarding = true;
+      discardInput();
       boolean half = midRequest;
       loop.execute(() -> {
         if (half) {
@@ -342,6 +347,7 @@
     }
     ended = true;
     discarding = true;
+    net.onReader(connection, this::discardInput);
     dropWaiting();
     cancelTimer();
     server.ended(this);
--- a/src/main/java/gapproxy/runtime/BatchAcceptStrategy.java
+++ b/src/main/java/gapproxy/runtime/BatchAcceptStrategy.java
@@ -20,7 +20,7 @@
 @SuppressWarnings("rawtypes")                                 // as Grizzly declares them
 final class BatchAcceptStrategy implements IOStrategy {
   /** Connections that are accepted before others are read from again. */
-  private static final int MOST_AT_ONCE = 64;
+  private static final int MOST_AT_ONCE = 32;
 
   private final SameThreadIOStrategy each = SameThreadIOStrategy.getInstance();
   private final AtomicLong accepted = new AtomicLong();
--- a/src/main/java/gapproxy/runtime/LiveNet.java
+++ b/src/main/java/gapproxy/runtime/LiveNet.java
@@ -146,6 +146,11 @@
     }
   }
 
+  @Override
+  public void discardInput(Connection<?> connection) {
+    RetryingTransportFilter.discardInput(connection);
+  }
+
   @Override
   public void onReader(Connection<?> connection, Runnable work) {
     SelectorRunner reader = ((NIOConnection) connection).getSelectorRunner();
--- a/src/main/java/gapproxy/runtime/Net.java
+++ b/src/main/java/gapproxy/runtime/Net.java
@@ -45,6 +45,10 @@
   /** Whether bytes may be taken from a connection for now; a paused one holds its peer back. */
   void reading(Connection<?> connection, boolean on);
 
+  /** Reads what still comes on a connection only to see its end; it passes no filter any more. On the thread that reads it. */
+  default void discardInput(Connection<?> connection) {
+  }
+
   /** Runs work on the thread that reads a connection, so that nothing of it is read meanwhile. */
   default void onReader(Connection<?> connection, Runnable work) {
     work.run();
--- a/src/main/java/gapproxy/runtime/RetryingTransportFilter.java
+++ b/src/main/java/gapproxy/runtime/RetryingTransportFilter.java
@@ -6,6 +6,7 @@
 import java.nio.channels.SocketChannel;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -24,12 +25,23 @@
   private static final int INTERRUPTED = -3;                  // sun.nio.ch.IOStatus.INTERRUPTED, which channels let through
   private static final int PIECE = 16 << 10;                  // bytes that one call reads or writes at most
   private static final Attribute<Queued> QUEUED = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("gapproxy.runtime.queued");
+  private static final int MOST_DISCARDED = 256 << 10;        // bytes at a time, so that others are read as well
+  private static final Attribute<Boolean> DISCARDED = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("gapproxy.runtime.discarded");
   private static final ThreadLocal<ByteBuffer> PIECES = ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(PIECE));
 
+  /** Reads what still comes on a connection only to see its end. */
+  static void discardInput(Connection<?> connection) {
+    DISCARDED.set(connection, Boolean.TRUE);
+  }
+
   @Override
   public NextAction handleRead(FilterChainContext ctx) throws IOException {
     TCPNIOConnection connection = (TCPNIOConnection) ctx.getConnection();
     ByteBuffer bytes = PIECES.get().clear();
+    if (DISCARDED.isSet(connection)) {
+      discard(connection, bytes);
+      return ctx.getStopAction();
+    }
     int n = read(connection, bytes);
     if (n == 0) {
       return ctx.getStopAction();
@@ -43,6 +55,17 @@
     return ctx.getInvokeAction();
   }
 
+  /** Much at a time: its peer may have left long ago, and holds a descriptor until its end is seen. */
+  private static void discard(TCPNIOConnection connection, ByteBuffer into) throws IOException {
+    int n = 1;
+    for (int discarded = 0; n > 0 && discarded < MOST_DISCARDED; discarded += n) {
+      n = read(connection, into.clear());
+    }
+    if (n < 0) {
+      throw ended(connection, new EOFException());
+    }
+  }
+
   private static int read(TCPNIOConnection connection, ByteBuffer into) throws IOException {
     SocketChannel channel = (SocketChannel) connection.getChannel();
     try {
--- a/src/test/java/gapproxy/runtime/LiveNetTest.java
+++ b/src/test/java/gapproxy/runtime/LiveNetTest.java
@@ -1,5 +1,6 @@
 package gapproxy.runtime;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetAddress;
@@ -11,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -70,6 +72,35 @@
     }
   }
 
+  /** Clients that left behind long requests held descriptors until others were closed for want of them. */
+  @Test
+  void whatIsDiscardedPassesNoFilterAndItsEndIsSeen() throws Exception {
+    AtomicInteger reads = new AtomicInteger();
+    CountDownLatch closed = new CountDownLatch(1);
+    try (LiveNet net = new LiveNet("net", 1)) {
+      Net.Port port = net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), () -> List.of(new BaseFilter() {
+        @Override
+        public NextAction handleRead(FilterChainContext ctx) {
+          reads.incrementAndGet();
+          net.discardInput(ctx.getConnection());
+          return ctx.getStopAction();
+        }
+
+        @Override
+        public NextAction handleClose(FilterChainContext ctx) {
+          closed.countDown();
+          return ctx.getInvokeAction();
+        }
+      }));
+      try (Socket s = new Socket()) {
+        s.connect(port.address());
+        s.getOutputStream().write(new byte[2 * BYTES]);
+      }
+      assertTrue(closed.await(WITHIN_SECONDS, TimeUnit.SECONDS));
+      assertEquals(1, reads.get());
+    }
+  }
+
   /** Connects, and sends from a thread of its own. */
   private static Socket client(Net.Port port, int bytes) throws Exception {
     Socket s = new Socket();
