--- a/src/test/java/gapproxy/http/BytesGivenBackTest.java
+++ b/src/test/java/gapproxy/http/BytesGivenBackTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gapproxy.memory.MemoryBudget;
+import gapproxy.memory.MemoryUse;
 import gapproxy.runtime.LiveLoop;
 import gapproxy.runtime.LiveNet;
 import java.io.IOException;
@@ -19,12 +20,17 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** Clients that ask, ask ahead, stop midway, do not read or leave, in orders drawn from seeds: all that was charged for them is given back. */
 class BytesGivenBackTest {
   private static final int SEEDS = 12, CLIENTS = 30, LONGEST = 256 << 10, CAPACITY = 3 << 20;
+  private static final int PIECE = 8 << 10, UNREAD = 64 << 20, AHEAD = 16;
+  private static final long PARSED_BYTES = 12_000;            // of a request that is parsed, beside its body
   private static final Duration WITHIN = Duration.ofSeconds(10), SHORT = Duration.ofMillis(300);
 
   private final LiveLoop loop = new LiveLoop("bytes");
@@ -118,15 +124,64 @@
         s.close();
       }
       assertEquals(List.of(), failed, "seed " + seed);
-      long until = System.nanoTime() + WITHIN.toNanos();
-      while (budget.charged() > 0 && System.nanoTime() < until) {
-        TimeUnit.MILLISECONDS.sleep(10);
-      }
-      assertEquals(0, budget.charged(), "seed " + seed);
+      awaitTrue(() -> budget.charged() == 0, "seed " + seed);
       assertTrue(budget.highest() <= CAPACITY + CLIENTS * 4 * (64L << 10), "seed " + seed + ": " + budget.highest());
     }
   }
 
+  /** A client that read nothing was sent on to for as long as its server had something to send. */
+  @Test
+  void theSourceOfAnAnswerThatIsNotReadIsHeldBack() throws Exception {
+    serve();
+    AtomicLong given = new AtomicLong();
+    AtomicReference<Exchange> held = new AtomicReference<>();
+    loop.call(front::kill);
+    front = HttpServer.open(loop, net, new InetSocketAddress("127.0.0.1", 0), Caps.DEFAULT, budget, (x, d) -> {
+      x.begin(200, Map.of());
+      while (given.get() < UNREAD && !x.full()) {
+        x.write(new byte[PIECE]);
+        given.addAndGet(PIECE);
+      }
+      held.set(x);
+    });
+    try (Socket s = new Socket("127.0.0.1", front.address().getPort())) {
+      s.getOutputStream().write(request(0));
+      awaitTrue(() -> held.get() != null);
+      assertTrue(given.get() < UNREAD, "all of " + UNREAD + " bytes were taken from its source");
+      assertTrue(budget.charged(MemoryUse.RESPONSE_OUT) <= CAPACITY / 8 + 2 * PIECE, "kept: " + budget.charged(MemoryUse.RESPONSE_OUT));
+    }
+    awaitTrue(() -> budget.charged() == 0);
+  }
+
+  /** Requests of a few bytes take many times that once they are parsed. */
+  @Test
+  void aParsedRequestIsChargedBeyondItsBytes() throws Exception {
+    serve();
+    List<Exchange> inHand = Collections.synchronizedList(new ArrayList<>());
+    loop.call(front::kill);
+    front = HttpServer.open(loop, net, new InetSocketAddress("127.0.0.1", 0), Caps.DEFAULT, budget, (x, d) -> inHand.add(x));
+    try (Socket s = new Socket("127.0.0.1", front.address().getPort())) {
+      for (int i = 0; i < AHEAD; i++) {
+        s.getOutputStream().write(request(0));
+      }
+      awaitTrue(() -> budget.charged(MemoryUse.REQUEST) >= AHEAD * PARSED_BYTES);
+      assertEquals(1, inHand.size());
+    }
+    awaitTrue(() -> budget.charged() == 0);
+  }
+
+  private static void awaitTrue(BooleanSupplier what) throws InterruptedException {
+    awaitTrue(what, "");
+  }
+
+  private static void awaitTrue(BooleanSupplier what, String when) throws InterruptedException {
+    long until = System.nanoTime() + WITHIN.toNanos();
+    while (!what.getAsBoolean() && System.nanoTime() < until) {
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+    assertTrue(what.getAsBoolean(), when);
+  }
+
   /** What a body is decoded to counts as well as the body. */
   @Test
   void aRequestWhoseOwnFormHasNoRoomIsRefused() throws Exception {
