--- a/src/main/java/gapproxy/soak/Soak.java
+++ b/src/main/java/gapproxy/soak/Soak.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.DoubleConsumer;
 import java.util.stream.Stream;
 
 /** Plays one plan. */
@@ -319,20 +320,16 @@
     }
   }
 
+  private void whileItLasts(Trouble t, DoubleConsumer share) {
+    share.accept(t.share());
+    loop.after(t.span(), () -> share.accept(0));
+  }
+
   private void sizes(Trouble t) {
     switch (t.kind()) {
-      case SIZES_LONG_BODIES -> {
-        clients.longBodies = t.share();
-        loop.after(t.span(), () -> clients.longBodies = 0);
-      }
-      case SIZES_SLOW_READERS -> {
-        clients.slowReaders = t.share();
-        loop.after(t.span(), () -> clients.slowReaders = 0);
-      }
-      case SIZES_LONG_EVENTS -> {
-        site.longEvents = t.share();
-        loop.after(t.span(), () -> site.longEvents = 0);
-      }
+      case SIZES_LONG_BODIES -> whileItLasts(t, share -> clients.longBodies = share);
+      case SIZES_SLOW_READERS -> whileItLasts(t, share -> clients.slowReaders = share);
+      case SIZES_LONG_EVENTS -> whileItLasts(t, share -> site.longEvents = share);
       default -> fronts.stream().filter(f -> f.open && sizeChance.nextDouble() < t.share())
           .forEach(f -> hands.execute(() -> stopInLongBodies(f, t.span())));
     }
@@ -589,10 +586,7 @@
 
   private void clientTrouble(Trouble t) {
     switch (t.kind()) {
-      case CLIENTS_LEAVE -> {
-        clients.leave = t.share();
-        loop.after(t.span(), () -> clients.leave = 0);
-      }
+      case CLIENTS_LEAVE -> whileItLasts(t, share -> clients.leave = share);
       case CLIENTS_BURST -> {
         clients.rate *= 2.5;
         loop.after(t.span(), () -> clients.rate /= 2.5);
