--- a/src/main/java/gapproxy/soak/MemoryPressure.java
+++ b/src/main/java/gapproxy/soak/MemoryPressure.java
@@ -23,6 +23,7 @@
 public final class MemoryPressure implements AutoCloseable {
   private static final int LONGEST_BODY = 256 << 10, SOCKETS = 512, USUAL_CLIENTS = 6, USUAL_BODY = 13 << 10, BUDGET_MS = 2000, USUAL_WITHIN_MS = 1000;
   private static final int SMALL_REQUEST = 600, LONG_HEAD = 15 << 10, STACK = 256 << 10, SMALL_BUFFER = 8 << 10;
+  private static final long FIRST_NEW_SESSION = 0x10000;     // past those of usual clients
   private static final long STALLED_NANOS = 1_000_000_000;
   private static final long LOOK_MS = 20, USUAL_PAUSE_MS = 20, WARM_MS = 500, REST_WITHIN_MS = 9000;
   static final SoakPlan.Settings SETTINGS = new SoakPlan.Settings(Duration.ofMillis(500), Duration.ofMillis(600), false, false,
@@ -45,7 +46,9 @@
     /** A head that has no end. */
     STOPS_IN_HEAD,
     /** One request after the other, each left at once. */
-    LEAVES;
+    LEAVES,
+    /** One request after the other, each of another session. */
+    NEW_SESSION_EACH;
 
     private final boolean readsNothing = name().endsWith("READS_NOTHING");
   }
@@ -75,6 +78,7 @@
     UNFINISHED_EVENTS(200, Client.READS, SMALL_REQUEST, PressurePeers.Behaviour.UNFINISHED_EVENT),
     UNFINISHED_SECOND_EVENTS(200, Client.READS, SMALL_REQUEST, PressurePeers.Behaviour.UNFINISHED_SECOND_EVENT),
     LEFT_AT_ONCE(60, Client.LEAVES, LONGEST_BODY, PressurePeers.Behaviour.SILENT),
+    NEW_SESSIONS(60, Client.NEW_SESSION_EACH, SMALL_REQUEST, PressurePeers.Behaviour.ANSWER),
     USELESS_LISTS(0, Client.READS, 0, PressurePeers.Behaviour.ANSWER);
 
     private final int clients, body;
@@ -223,9 +227,13 @@
   }
 
   private byte[] request(int body, PressurePeers.Behaviour servers) {
+    return request(body, servers, ids.get() % 40);
+  }
+
+  private byte[] request(int body, PressurePeers.Behaviour servers, long key) {
     String head = String.format("POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nReq-Id: %016x\r\nReq-Kind: talk\r\nReq-Owner: town\r\n"
         + "Req-Key: %x\r\nReq-Deadline-Ms: %d\r\nReq-Extra: prefix=1,prompt_len=200,prefix_len=100,max_out=80\r\n%s: %s\r\nContent-Length: %d\r\n\r\n",
-        ids.incrementAndGet(), ids.get() % 40, BUDGET_MS, PressurePeers.BEHAVIOUR, servers, body);
+        ids.incrementAndGet(), key, BUDGET_MS, PressurePeers.BEHAVIOUR, servers, body);
     return PressurePeers.ascii(head + "x".repeat(body));
   }
 
@@ -304,7 +312,7 @@
   private void press(Socket s) throws IOException {
     OutputStream out = s.getOutputStream();
     switch (row.client) {
-      case READS -> readAnswers(s, false);
+      case READS, NEW_SESSION_EACH -> readAnswers(s, false);
       case ASKS_AHEAD -> {
         PressurePeers.converse("pressure-reader", s, of -> readAnswers(of, true));
         askAhead(out);
@@ -340,11 +348,15 @@
     }
   }
 
+  private byte[] nextRequest() {
+    return row.client == Client.NEW_SESSION_EACH ? request(row.body, row.servers, FIRST_NEW_SESSION + ids.get()) : request(row.body, row.servers);
+  }
+
   private void readAnswers(Socket s, boolean asked) throws IOException {
     InputStream in = new BufferedInputStream(s.getInputStream());
     while (!ended) {
       if (!asked) {
-        s.getOutputStream().write(request(row.body, row.servers));
+        s.getOutputStream().write(nextRequest());
       }
       PressurePeers.Head h = PressurePeers.head(in);
       if (h == null) {
