A reservation does not show a read while an earlier one may still be out

Change: a reservation asked for within the time in which a close may still be on its way (1 s and the release time) shows nothing; what is held is then released early, as without an answer.

Result: GatewayCrossingsTest.aReservationDoesNotShowAReadWhileAnEarlierOneMayStillBeOut, red before.

--- a/src/main/java/gapproxy/gateway/HeldState.java
+++ b/src/main/java/gapproxy/gateway/HeldState.java
@@ -142,6 +142,7 @@
     log.reservation(r, at, "reservation is asked for");
     Req.Place place = new Req.Place(at, r.client.id() != null ? r.client.id() : r.name + "-p" + r.forwards.size());
     Req.Forward beside = r.forwards.stream().filter(f -> f.out() && f.reads() && f.sentAt != null).reduce((a, b) -> b).orElse(null);
+    boolean earlierMayBeOut = r.closedAt != null && r.closedAt.plus(closeSeenWithin).compareTo(loop.now()) > 0;
     r.place = place;
     r.placeHeld = false;
     HeldLedger.Entry entry = enter(r, at, place.id(), watch.reservationActsUntil(), false);
@@ -155,14 +156,20 @@
       @Override
       public void answered(Servers.Reservation answer) {
         log.reservation(r, at, "reservation is answered " + answer);
-        reserved(r, place, entry, beside, answer);
+        reserved(r, place, entry, answer);
+        if (answer == Servers.Reservation.HELD && !earlierMayBeOut) {
+          shown(beside);
+        }
+        changed(r);
+        if (answer == Servers.Reservation.NOT_KNOWN && beside != null) {
+          watch.reservationNotKnown(beside);
+        }
         then.accept(answer == Servers.Reservation.HELD);
       }
     });
   }
 
-  /** @param beside the read that was out when the place was asked for, or null: the answer tells of no other one */
-  private void reserved(Req r, Req.Place place, HeldLedger.Entry entry, Req.Forward beside, Servers.Reservation answer) {
+  private void reserved(Req r, Req.Place place, HeldLedger.Entry entry, Servers.Reservation answer) {
     boolean held = answer == Servers.Reservation.HELD;
     if (answer == Servers.Reservation.NOT_HELD) {
       entry.withdraw();
@@ -177,12 +184,12 @@
     if (held) {
       clock.told(r, place.id(), place.at().address());
     }
-    if (held && beside != null && beside.out() && beside.arrivedBy == null && servers.reservationShowsRead()) {
-      beside.arrivedBy = ArrivalEvidence.RESERVATION;
-    }
-    changed(r);
-    if (answer == Servers.Reservation.NOT_KNOWN && beside != null) {
-      watch.reservationNotKnown(beside);
+  }
+
+  /** A place is held only beside a read that is out. */
+  private void shown(Req.Forward read) {
+    if (read != null && read.out() && read.arrivedBy == null && servers.reservationShowsRead()) {
+      read.arrivedBy = ArrivalEvidence.RESERVATION;
     }
   }
 
--- a/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
+++ b/src/test/java/gapproxy/gateway/GatewayCrossingsTest.java
@@ -237,6 +237,15 @@
     assertTrue(servers.frees.contains("r"));
   }
 
+  /** A place was held for 1.5 s at 0.5 s: its server had found the read that was closed a moment before still out, and the next one never came. */
+  @Test
+  void aReservationDoesNotShowAReadWhileAnEarlierOneMayStillBeOut() {
+    readAnewBesideAnOldReservation();
+    servers.holds.get(1).answered(Servers.Reservation.HELD);
+    turn(Duration.ofMillis(900));
+    assertTrue(servers.frees.contains("r"));
+  }
+
   @Test
   void aReservationOfAnEarlierReadDoesNotEndTheNextOne() {
     readAnewBesideAnOldReservation();
