A reservation is doubted after a read that ended without an answer, not after a write

A server answers "held" for a read that it still has; a write that was closed can't be taken for one. As it was, evidence was also lost after writes, which costs early releases.

--- a/src/main/java/gapproxy/gateway/HeldState.java
+++ b/src/main/java/gapproxy/gateway/HeldState.java
@@ -118,6 +118,7 @@
     }
     boolean answered = f.how == Outcome.READ || f.how == Outcome.FULL || f.how == Outcome.ERROR && f.arrivedBy == ArrivalEvidence.OWN_CONNECTION;
     clock.ended(f, answered);
+    r.readClosedAt = f.reads() && !answered ? loop.now() : r.readClosedAt;
     boolean mayLeaveState = f.reads() && f.how != Outcome.FULL;
     HeldLedger held = r.ledgers.get(f.id);
     boolean mayKeep = f.mayKeep || r.client.id() != null && held != null && held.isOpen();
@@ -142,7 +143,7 @@
     log.reservation(r, at, "reservation is asked for");
     Req.Place place = new Req.Place(at, r.client.id() != null ? r.client.id() : r.name + "-p" + r.forwards.size());
     Req.Forward beside = r.forwards.stream().filter(f -> f.out() && f.reads() && f.sentAt != null).reduce((a, b) -> b).orElse(null);
-    boolean earlierMayBeOut = r.closedAt != null && r.closedAt.plus(closeSeenWithin).compareTo(loop.now()) > 0;
+    boolean earlierMayBeOut = r.readClosedAt != null && r.readClosedAt.plus(closeSeenWithin).compareTo(loop.now()) > 0;
     r.place = place;
     r.placeHeld = false;
     HeldLedger.Entry entry = enter(r, at, place.id(), watch.reservationActsUntil(), false);
--- a/src/main/java/gapproxy/gateway/Req.java
+++ b/src/main/java/gapproxy/gateway/Req.java
@@ -75,6 +75,7 @@
   final Map<String, HeldLedger> ledgers = new LinkedHashMap<>(); // of what may be held for it, by the ids that release it
   final Map<String, HeldClock.Account> heldAccounts = new LinkedHashMap<>(); // the guard's own of the same
   Duration closedAt;                                          // when an attempt of it last ended without an answer, or null
+  Duration readClosedAt;                                      // when a read of it last ended without an answer, or null
   Duration goneAt;                                            // when its client closed, or null
   Duration uncoveredSince;                                    // held with no attempt known to have arrived, or null
   Loop.Timer releaseCheck;
