--- a/src/test/java/gapproxy/soak/SoakTest.java
+++ b/src/test/java/gapproxy/soak/SoakTest.java
@@ -15,8 +15,10 @@
 import org.junit.jupiter.api.parallel.Execution;
 import org.junit.jupiter.api.parallel.ExecutionMode;
 
-/** The short form of the soak: fixed plans of real processes, and planted faults that the judge has to find. */
-@Execution(ExecutionMode.CONCURRENT)                        // each play mostly waits
+/**
+ * The short form of the soak: fixed plans of real processes, and planted faults that the judge has to find. A play mostly waits, so some run
+ * at the same time; the class itself, and so every other one, runs alone.
+ */
 class SoakTest {
   private static final SoakPlan.Settings SETTINGS = new SoakPlan.Settings(Duration.ofMillis(500), Duration.ofMillis(600), true, true,
       Duration.ofMillis(2500), Duration.ofSeconds(4));
@@ -39,6 +41,7 @@
   }
 
   @Test
+  @Execution(ExecutionMode.CONCURRENT)
   void nothingIsFoundWhileServersFallSilentAndGatewaysStop() throws Exception {
     Soak.Result r = play(plan(4, 9, trouble(Kind.SERVERS_SILENT, 2000, 2000, 0.5), trouble(Kind.GATEWAY_TERM, 2500, 1, 0.9),
         trouble(Kind.CLIENTS_LEAVE, 2000, 4000, 0.4), trouble(Kind.SERVERS_CUT_AFTER_REQUEST, 5000, 2000, 0.3)), Set.of());
@@ -47,6 +50,7 @@
   }
 
   @Test
+  @Execution(ExecutionMode.CONCURRENT)
   void nothingIsFoundWhileDiscoveryMovesAndServersDrainAndRestart() throws Exception {
     Soak.Result r = play(plan(4, 9, trouble(Kind.GATEWAY_RELOAD, 2000, 1, 0.9), trouble(Kind.SERVERS_DRAIN, 2100, 2000, 0.6),
         trouble(Kind.SERVERS_RESTART, 3000, 1, 0.6), trouble(Kind.SERVERS_JUNK_AT_REST, 4000, 2000, 0.4),
@@ -64,6 +68,7 @@
    * nothing was held for longer than 411 ms.
    */
   @Test
+  @Execution(ExecutionMode.CONCURRENT)
   void nothingIsHeldForAttemptsOnConnectionsThatFellSilent() throws Exception {
     Soak.Result r = play(plan(4, 9, trouble(Kind.CONNECTIONS_SILENT, 2500, 1, 0.99), trouble(Kind.CONNECTIONS_SILENT, 4500, 1, 0.99),
         trouble(Kind.CONNECTIONS_SILENT_SINGLY, 5500, 3000, 0.99)), Set.of());
@@ -73,6 +78,7 @@
 
   /** Releases leave what waiting attempts need, and servers hold it on after those attempts, whose close they see late. */
   @Test
+  @Execution(ExecutionMode.CONCURRENT)
   void whatAReleaseLeftForAnAttemptIsReleasedWhenThatAttemptIsOver() throws Exception {
     SoakPlan.Settings settings = new SoakPlan.Settings(Duration.ofMillis(500), Duration.ofMillis(600), true, true, Duration.ofSeconds(15),
         Duration.ofSeconds(1));
@@ -86,6 +92,7 @@
 
   /** The kill comes 1.7 s after SIGTERM, which comes in series with other signals; what is held has a quarter of a second. */
   @Test
+  @Execution(ExecutionMode.CONCURRENT)
   void nothingIsFoundWithShortDeadlinesACrowdAndSignalsInSeries() throws Exception {
     SoakPlan.Settings shortOnes = new SoakPlan.Settings(Duration.ofMillis(250), Duration.ofMillis(600), false, false,
         Duration.ofSeconds(15), Duration.ofSeconds(1));
@@ -98,6 +105,7 @@
   }
 
   @Test
+  @Execution(ExecutionMode.CONCURRENT)
   void plantedFaultsAreFound() throws Exception {
     Soak.Result r = play(plan(3, 9, trouble(Kind.SERVERS_DRAIN, 1500, 5000, 0.99), trouble(Kind.GATEWAY_KILL, 4000, 1, 0.99),
         trouble(Kind.GATEWAY_KILL, 6500, 1, 0.99), trouble(Kind.SERVERS_CUT_AFTER_REQUEST, 1500, 7000, 0.5),
@@ -107,6 +115,7 @@
 
   /** Effects that come twice are few beside drains and kills. */
   @Test
+  @Execution(ExecutionMode.CONCURRENT)
   void plantedSecondEffectsAreFound() throws Exception {
     Soak.Result r = play(plan(4, 9, trouble(Kind.CLIENTS_BURST, 500, 8500, 0.99), trouble(Kind.SERVERS_CUT_AFTER_REQUEST, 500, 8500, 0.5)),
         EnumSet.of(Plant.EFFECT_MISNAMED));
@@ -115,6 +124,7 @@
 
   /** So are servers that are pushed over as they start. */
   @Test
+  @Execution(ExecutionMode.CONCURRENT)
   void plantedWeakStartsAreFound() throws Exception {
     SoakPlan fewServers = new SoakPlan(1, 4, 2, 2, Duration.ofSeconds(9), SETTINGS, SoakPlan.Peers.draw(1), List.of(
         trouble(Kind.CLIENTS_BURST, 1000, 8000, 0.99), trouble(Kind.SERVERS_RESTART, 2500, 1, 0.99), trouble(Kind.SERVERS_RESTART, 4000, 1, 0.99),
