--- a/review/src/Lab.java
+++ b/review/src/Lab.java
@@ -37,8 +37,6 @@
   Discovery discovery;
   /** What model servers hold, by req id: the names of the holders. */
   final Map<String, Set<String>> held = new ConcurrentHashMap<>();
-  /** Ids of reads that are out. */
-  final Set<String> readsOut = ConcurrentHashMap.newKeySet();
   int sockets = 256;
   int memoryMb = 192;
 
@@ -268,6 +266,8 @@
     volatile long bornMs;
     volatile Hook hook;
     volatile int readMs = 20, firstTokenMs = 20, gapMs = 20, events = 10;
+    /** How fast a reader reads; 0 for reads of {@link #readMs}. */
+    volatile int tokensPerMs;
 
     ModelServer(String name, boolean reader) throws IOException {
       this.name = name;
@@ -322,13 +322,15 @@
       if (hook != null && hook.handle(this, peer, request)) {
         return !peer.socket.isClosed();
       }
-      return reader ? read(peer, id) : stream(peer, id);
+      int forMs = readMs;
+      if (tokensPerMs > 0) {
+        forMs = Math.max(1, Integer.parseInt(request.headers.get("req-extra").replaceAll(".*prompt_len=(\\d+).*", "$1")) / tokensPerMs);
+      }
+      return reader ? read(peer, id, forMs) : stream(peer, id);
     }
 
-    boolean read(Peer peer, String id) throws IOException {
-      readsOut.add(id);
-      boolean gone = peer.closedWithin(readMs);
-      readsOut.remove(id);
+    boolean read(Peer peer, String id, int forMs) throws IOException {
+      boolean gone = peer.closedWithin(forMs);
       if (gone) {
         note(name + " drops the read of " + id + ": its connection is closed");
         return false;
