Log and count why and when an answer is ended for its server's silence

The line "answer ended, as its server is silent" now tells them, with what came last, the client's rests and what may be held, and gapproxy_streams_silent_total counts by what came last. The time of a read is taken on the reading thread. Nothing is decided by it yet.

--- a/src/main/java/gapproxy/engine/EngineClient.java
+++ b/src/main/java/gapproxy/engine/EngineClient.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gapproxy.http.ServerSentEventParser;
+import gapproxy.http.StreamContent;
 import gapproxy.http.HttpClient;
 import gapproxy.http.BufferedResponseListener;
 import gapproxy.openai.CompletionChunk;
@@ -78,8 +79,12 @@
 
     void chunk(CompletionChunk chunk);
 
-    /** All chunks of the bytes received so far have been delivered. */
-    void flush();
+    /**
+     * All chunks of the bytes received so far have been delivered.
+     *
+     * @param content what the last read brought
+     */
+    void readDelivered(StreamContent content);
 
     /** The stream ended regularly. */
     void done();
@@ -290,9 +295,9 @@
         return;
       }
       try {
-        events.feed(bytes);
+        StreamContent content = events.feed(bytes);
         if (!finished) {
-          listener.flush();
+          listener.readDelivered(content);
         }
       } catch (IllegalStateException e) {
         if (!finished) {
--- a/src/main/java/gapproxy/gateway/AttemptLog.java
+++ b/src/main/java/gapproxy/gateway/AttemptLog.java
@@ -75,6 +75,22 @@
         .log(message);
   }
 
+  /**
+   * Records that an answer is ended because its server fell silent, with the times that tell whether the end came too early or too late.
+   *
+   * @param endDelay how late the timer of the end ran
+   */
+  void streamSilent(Req.Attempt attempt, Duration endDelay) {
+    StreamActivity activity = attempt.activity;
+    event(attempt.req, attempt.server, "stream is silent", activity.silence());
+    LOG.atWarn().addKeyValue("request_id", Gateway.requestId(attempt.req)).addKeyValue("attempt", attempt.number)
+        .addKeyValue("path", attempt.path).addKeyValue("server", attempt.server.address()).addKeyValue("cause", activity.silence())
+        .addKeyValue("last_event_ms", millisSince(activity.lastEventAt())).addKeyValue("last_byte_ms", millisSince(activity.lastReadAt()))
+        .addKeyValue("client_paused_ms", activity.pausedTotal().toMillis()).addKeyValue("end_delay_ms", endDelay.toMillis())
+        .addKeyValue("server_heard_ms", millisSince(servers.lastReceivedAt(attempt.server.address())))
+        .addKeyValue("held", describeHeld(attempt.req)).log("answer ended, as its server is silent");
+  }
+
   private void event(Req req, Fleet.Server server, String event, Object cause) {
     ring.add(new EventRing.Entry(loop.now(), Gateway.requestId(req), event, server == null ? null : server.address(), cause));
   }
--- a/src/main/java/gapproxy/gateway/EngineServers.java
+++ b/src/main/java/gapproxy/gateway/EngineServers.java
@@ -5,6 +5,7 @@
 import gapproxy.engine.EngineClient;
 import gapproxy.engine.EngineFailure;
 import gapproxy.http.HttpClient;
+import gapproxy.http.StreamContent;
 import gapproxy.openai.CompletionChunk;
 import gapproxy.runtime.Loop;
 import java.net.InetSocketAddress;
@@ -78,8 +79,8 @@
           }
 
           @Override
-          public void flush() {
-            listener.flush();
+          public void readDelivered(StreamContent content) {
+            listener.readDelivered(content);
           }
 
           @Override
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import gapproxy.config.Config;
 import gapproxy.engine.EngineFailure;
 import gapproxy.http.HttpClient;
+import gapproxy.http.StreamContent;
 import gapproxy.list.FileListSource;
 import gapproxy.list.ListSource;
 import gapproxy.list.LongPollListSource;
@@ -648,10 +649,11 @@
     }
 
     @Override
-    public void flush() {
+    public void readDelivered(StreamContent content) {
       if (!attempt.answerBegun || !attempt.inFlight()) {
         return;
       }
+      attempt.activity.received(content, attempt.lastReadAt(loop.now()));
       // An engine that goes on writing a chunk is not silent, however long the chunk takes.
       req.lastChunkAt = loop.now();
       if (!attempt.flushPending) {
@@ -694,6 +696,7 @@
     }
     watcher.accept(req.stage().name(), "first token");
     attempt.answerBegun = true;
+    attempt.activity = new StreamActivity(attempt.lastReadAt(loop.now()));
     attemptLog.event(attempt, "first token");
     req.streamingAttempt = attempt;
     attempt.timeoutTimer.cancel();
@@ -720,11 +723,14 @@
   private void watch(Req.Attempt attempt) {
     Duration maxGap = settings.maxTokenGap();
     Duration remaining = attempt.req.lastChunkAt.plus(maxGap).minus(loop.now());
+    Duration dueAt = loop.now().plus(remaining.isNegative() ? maxGap : remaining);
     attempt.timeoutTimer = loop.after(remaining.isNegative() ? maxGap : remaining, () -> {
       if (attempt.req.paused) {
         attempt.req.lastChunkAt = loop.now();
       }
       if (loop.now().minus(attempt.req.lastChunkAt).compareTo(maxGap) >= 0) {
+        metrics.silentStream(attempt.activity.silence());
+        attemptLog.streamSilent(attempt, loop.now().minus(dueAt));
         abortStream(attempt, Outcome.TIMED_OUT, "the engine sent nothing for " + maxGap.toMillis() + " ms");
       } else {
         watch(attempt);
@@ -749,10 +755,12 @@
     Req req = attempt.req;
     if (req.client.outputFull() && !req.paused) {
       req.paused = true;
+      attempt.activity.paused(loop.now());
       attempt.call.setReading(false);
       req.client.onWritable(() -> {
         if (req.paused && attempt.inFlight()) {
           req.paused = false;
+          attempt.activity.resumed(loop.now());
           attempt.call.setReading(true);
         }
       });
--- a/src/main/java/gapproxy/gateway/Req.java
+++ b/src/main/java/gapproxy/gateway/Req.java
@@ -43,6 +43,8 @@
     boolean mayRetainAfterRelease;
     /** Whether its first token has arrived. */
     boolean answerBegun;
+    /** What was received of its answer; null until the answer has begun. */
+    StreamActivity activity;
     /** Whether its answer is to be flushed at the end of the loop's turn. */
     boolean flushPending;
     /** The load figures that came with the answer. */
@@ -62,6 +64,12 @@
       this.sendDeadline = sendDeadline;
     }
 
+    /** When the data of its answer that is being handled was read from the socket; {@code now} where the call does not tell that. */
+    Duration lastReadAt(Duration now) {
+      Duration readAt = call == null ? null : call.lastReadAt();
+      return readAt == null ? now : readAt;
+    }
+
     /** Drops the references to the call, which holds the request's body, and to pieces of an answer that was not used. */
     private void releaseBytes() {
       call = null;
--- a/src/main/java/gapproxy/gateway/Servers.java
+++ b/src/main/java/gapproxy/gateway/Servers.java
@@ -2,6 +2,7 @@
 
 import gapproxy.engine.EngineFailure;
 import gapproxy.http.HttpClient;
+import gapproxy.http.StreamContent;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
@@ -75,8 +76,12 @@
      */
     void tokensCounted(long cachedTokens, long promptTokens, long answerTokens);
 
-    /** The chunks of one network read have all been delivered. There may be none, since a chunk may take several reads. */
-    void flush();
+    /**
+     * The chunks of one network read have all been delivered. There may be none, since a chunk may take several reads.
+     *
+     * @param content what the read brought
+     */
+    void readDelivered(StreamContent content);
 
     /** The stream has ended regularly. */
     void done();
--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -321,6 +321,7 @@
     private Duration idleBefore;                              // how long its connection had been idle; null for a new one
     private Duration startedAt;                               // when the call was given its connection
     private boolean finished;
+    private Duration lastReadAt;
 
     Call(InetSocketAddress address, String method, String path, Supplier<Map<String, String>> headers, byte[] body,
         Listener listener) {
@@ -451,6 +452,11 @@
       }
     }
 
+    /** When the response data that was passed on last had been read from the socket, on the clock of the loop; null if there was none. */
+    public Duration lastReadAt() {
+      return lastReadAt;
+    }
+
     /** The connection that the request was sent on, or null. */
     public ConnectionState connection() {
       return connection == null ? null : new ConnectionState(connection.number, connection.openedAt, connection.lastHeardAt);
@@ -730,10 +736,11 @@
       int status = response.getStatus();
       boolean keepAlive = last && isKeepAlive(response);
       int queuedBytes = bytes.length + PART_OVERHEAD_BYTES;
+      Duration readAt = loop.now();
       conn.partQueued(queuedBytes);
       loop.execute(() -> {
         try {
-          handlePart(conn, new ResponsePart(first, status, headers, bytes, broken, last, keepAlive));
+          handlePart(conn, new ResponsePart(first, status, headers, bytes, readAt, broken, last, keepAlive));
         } finally {
           conn.partHandled(queuedBytes);
         }
@@ -751,9 +758,13 @@
     }
   }
 
-  /** A part of a response; {@code headers} is null except in the first part. */
-  private record ResponsePart(boolean isFirst, int status, Map<String, String> headers, byte[] bytes, boolean isBroken, boolean isLast,
-      boolean keepAlive) {}
+  /**
+   * A part of a response; {@code headers} is null except in the first part.
+   *
+   * @param readAt when it was read from the socket, on the clock of the loop
+   */
+  private record ResponsePart(boolean isFirst, int status, Map<String, String> headers, byte[] bytes, Duration readAt, boolean isBroken,
+      boolean isLast, boolean keepAlive) {}
 
   /** Handles a response part on the loop. */
   private void handlePart(ClientConnection conn, ResponsePart part) {
@@ -775,6 +786,7 @@
     }
     if (part.bytes.length > 0 && conn.call == call) {
       call.receivedBytes += part.bytes.length;
+      call.lastReadAt = part.readAt;
       if (call.receivedBytes > call.listener.maxBodyBytes()) {
         call.fail(Failure.BROKEN, "the response is longer than " + call.listener.maxBodyBytes() + " bytes");
         return;
--- a/src/main/java/gapproxy/http/ServerSentEventParser.java
+++ b/src/main/java/gapproxy/http/ServerSentEventParser.java
@@ -11,6 +11,8 @@
   private final int maxEventBytes;
   private final Consumer<String> onEvent;
   private boolean lastWasCarriageReturn;
+  // Whether the current call of feed has completed an event.
+  private boolean eventCompleted;
 
   /**
    * @param maxEventBytes maximum length of the data of one event in bytes; a stream that exceeds it is treated as invalid
@@ -24,9 +26,11 @@
   /**
    * Parses the next bytes, which may be split anywhere.
    *
+   * @return what they brought
    * @throws IllegalStateException if an event exceeds the maximum length
    */
-  public void feed(byte[] bytes) {
+  public StreamContent feed(byte[] bytes) {
+    eventCompleted = false;
     int from = 0;
     for (int i = 0; i < bytes.length; i++) {
       byte b = bytes[i];
@@ -46,6 +50,10 @@
     if (line.size() + data.length() > maxEventBytes) {
       throw new IllegalStateException("an event of more than " + maxEventBytes + " bytes");
     }
+    if (eventCompleted) {
+      return StreamContent.EVENT;
+    }
+    return pendingBytes() > 0 ? StreamContent.EVENT_PART : StreamContent.COMMENTS;
   }
 
   /** Bytes of the current incomplete event. */
@@ -61,6 +69,7 @@
       if (data.length() > 0) {
         String event = data.substring(0, data.length() - 1);
         data.setLength(0);
+        eventCompleted = true;
         onEvent.accept(event);
       }
     } else if (text.startsWith("data:")) {
--- a/src/main/java/gapproxy/platform/EventSplitter.java
+++ b/src/main/java/gapproxy/platform/EventSplitter.java
@@ -1,5 +1,6 @@
 package gapproxy.platform;
 
+import gapproxy.http.StreamContent;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 
@@ -43,6 +44,8 @@
   private boolean insideBlock;
   // Whether parts of the current event or comment have already been forwarded.
   private boolean partForwarded;
+  // Whether the current call of feed has completed an event.
+  private boolean eventCompleted;
 
   EventSplitter(Listener listener) {
     this.listener = listener;
@@ -51,9 +54,12 @@
   /**
    * Processes the next bytes, which may be split at any point.
    *
+   * @return what they brought
    * @throws IllegalStateException if the stream holds something other than events
    */
-  void feed(byte[] bytes) {
+  StreamContent feed(byte[] bytes) {
+    boolean continuesComment = isInComment();
+    eventCompleted = false;
     int from = 0;
     for (int i = 0; i < bytes.length; i++) {
       byte b = bytes[i];
@@ -69,6 +75,12 @@
     }
     buffer.write(bytes, from, bytes.length - from);
     forwardLongEvent();
+    if (eventCompleted) {
+      return StreamContent.EVENT;
+    } else if (insideEvent()) {
+      return StreamContent.EVENT_PART;
+    }
+    return continuesComment || isInComment() ? StreamContent.COMMENT_PART : StreamContent.COMMENTS;
   }
 
   private void endLine() {
@@ -138,6 +150,7 @@
 
   private void completeEvent() {
     insideBlock = false;
+    eventCompleted = true;
     byte[] bytes = takeBuffer();
     if (partForwarded) {
       partForwarded = false;
--- a/src/main/java/gapproxy/platform/PlatformServers.java
+++ b/src/main/java/gapproxy/platform/PlatformServers.java
@@ -8,6 +8,7 @@
 import gapproxy.http.HttpClient;
 import gapproxy.http.HttpRequest;
 import gapproxy.http.BufferedResponseListener;
+import gapproxy.http.StreamContent;
 import gapproxy.runtime.Loop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -160,8 +161,8 @@
         return;
       }
       try {
-        events.feed(bytes);
-        listener.flush();
+        StreamContent content = events.feed(bytes);
+        listener.readDelivered(content);
       } catch (IllegalStateException e) {
         fail(new EngineFailure(EngineFailure.Kind.BROKEN, status, EMPTY_BODY, e.getMessage()));
       }
--- a/src/main/java/gapproxy/trace/Metrics.java
+++ b/src/main/java/gapproxy/trace/Metrics.java
@@ -26,6 +26,8 @@
   private final Counter holdsEnded = counter("gapproxy_held_ended_total", "Ids under which nothing is held any longer, by proof.", "proof");
   private final Counter silentAttempts = counter("gapproxy_attempts_silent_total",
       "Attempts that were ended because the server sent nothing.", "path", "evidence");
+  private final Counter silentStreams = counter("gapproxy_streams_silent_total",
+      "Answers that were ended because the server fell silent.", "cause");
   private final Counter lateTicks = counter("gapproxy_held_up_total", "Ticks that ran more than 0.2 s late.");
   private final Counter lists = counter("gapproxy_lists_total", "Lists of model servers that were applied or not available.", "form");
   private final Counter faults = counter("gapproxy_faults_total", "Internal faults after which the gateway continued.", "kind");
@@ -105,6 +107,15 @@
     silentAttempts.labelValues(label(path), evidence == null ? "none" : label(evidence)).inc();
   }
 
+  /**
+   * Counts an answer that was ended because its server fell silent.
+   *
+   * @param cause what came last
+   */
+  public void silentStream(Enum<?> cause) {
+    silentStreams.labelValues(label(cause)).inc();
+  }
+
   /** Counts a timer of the decision logic that ran late because the process was stalled. */
   public void lateTick() {
     lateTicks.inc();
--- a/src/test/java/gapproxy/audit/PlantedFaultsTest.java
+++ b/src/test/java/gapproxy/audit/PlantedFaultsTest.java
@@ -9,6 +9,7 @@
 import gapproxy.engine.EngineFailure;
 import gapproxy.http.ServerLimits;
 import gapproxy.http.Exchange;
+import gapproxy.http.StreamContent;
 import gapproxy.http.HttpClient;
 import gapproxy.http.HttpRequest;
 import gapproxy.http.HttpServer;
@@ -91,7 +92,7 @@
         }
 
         @Override
-        public void flush() {}
+        public void readDelivered(StreamContent content) {}
 
         @Override
         public void done() {
