End an answer whose server is silent in time, on both sides of the limit

Cause: the limit has two sides and was tested on one. left 0.05 s for everything that is late, counted from bytes of any kind, and Gateway.watch began a whole further gap when the time ran out between two readings of the clock. StreamSilencePolicy, a decision module, counts from the last whole event, from the earliest time at which it may have been sent (way of the bytes, hold-up of the process), and lets an event that is still being written be completed. What can be read is read before the end. The clock is read once for a decision, and reads are timed on the thread that makes them.

--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -65,6 +65,8 @@
   private final HeldResources heldResources;
   private final AttemptLog attemptLog;
   private final SendGuard sendGuard;
+  private final StallDetector stallDetector;
+  private final StreamWatch streamWatch;
   private final EffectRecord effectRecord;
   private final Metrics metrics = new Metrics();
   private final MemoryReport memoryReport;
@@ -142,6 +144,9 @@
     sendGuard = new SendGuard(loop, fleet, settings, metrics, recentEvents, effectRecord);
     attemptLog = new AttemptLog(loop, servers, recentEvents);
     heldResources = new HeldResources(loop, settings, servers, fleet, sendGuard, metrics, recentEvents, attemptLog, this::endAttempt);
+    stallDetector = new StallDetector(loop, () -> !openReqs.isEmpty());
+    streamWatch = new StreamWatch(loop, new StreamSilencePolicy(settings.silenceLimit()), stallDetector, metrics, attemptLog,
+        (attempt, reason) -> abortStream(attempt, Outcome.TIMED_OUT, reason));
     runId = settings.name() + "-" + Long.toString(loop.wallClock().toEpochMilli(), 36);
     this.listSource = listSourceFactory.apply(new ListListener());
   }
@@ -631,7 +636,6 @@
       if (!attempt.inFlight()) {
         return;
       }
-      req.lastChunkAt = loop.now();
       heldResources.heardOnOwnConnection(attempt);
       if (!attempt.answerBegun && hasContent) {
         beginAnswer(attempt);
@@ -653,9 +657,7 @@
       if (!attempt.answerBegun || !attempt.inFlight()) {
         return;
       }
-      attempt.activity.received(content, attempt.lastReadAt(loop.now()));
-      // An engine that goes on writing a chunk is not silent, however long the chunk takes.
-      req.lastChunkAt = loop.now();
+      streamWatch.received(attempt, content);
       if (!attempt.flushPending) {
         attempt.flushPending = true;
         attemptsToFlush.add(attempt);
@@ -696,12 +698,10 @@
     }
     watcher.accept(req.stage().name(), "first token");
     attempt.answerBegun = true;
-    attempt.activity = new StreamActivity(attempt.lastReadAt(loop.now()));
     attemptLog.event(attempt, "first token");
     req.streamingAttempt = attempt;
     attempt.timeoutTimer.cancel();
-    req.lastChunkAt = loop.now();
-    watch(attempt);
+    streamWatch.watch(attempt);
     req.timeToFirstToken = loop.now().minus(req.receivedAt);
     heldResources.answerBegun(req);
     if (req.client.streaming()) {
@@ -716,28 +716,6 @@
     pendingEvents.add(new Event.FirstToken(req.number, attempt.number, loop.now().minus(attempt.startedAt)));
   }
 
-  /**
-   * Aborts the answer if the engine sends nothing for the maximum token gap. While reading is paused for a slow client, the gap does not
-   * count.
-   */
-  private void watch(Req.Attempt attempt) {
-    Duration maxGap = settings.maxTokenGap();
-    Duration remaining = attempt.req.lastChunkAt.plus(maxGap).minus(loop.now());
-    Duration dueAt = loop.now().plus(remaining.isNegative() ? maxGap : remaining);
-    attempt.timeoutTimer = loop.after(remaining.isNegative() ? maxGap : remaining, () -> {
-      if (attempt.req.paused) {
-        attempt.req.lastChunkAt = loop.now();
-      }
-      if (loop.now().minus(attempt.req.lastChunkAt).compareTo(maxGap) >= 0) {
-        metrics.silentStream(attempt.activity.silence());
-        attemptLog.streamSilent(attempt, loop.now().minus(dueAt));
-        abortStream(attempt, Outcome.TIMED_OUT, "the engine sent nothing for " + maxGap.toMillis() + " ms");
-      } else {
-        watch(attempt);
-      }
-    });
-  }
-
   /** Flushes each client once per turn of the loop; with a system call for each token, those calls were a gateway's largest cost. */
   private void flushClients() {
     for (Req.Attempt attempt : attemptsToFlush) {
@@ -1006,6 +984,7 @@
       ClientReq.Attributes attributes = clientReq.attributes();
       Req req = new Req(number, runId + "-" + number, clientReq, loop.now());
       openReqs.put(number, req);
+      stallDetector.start();
       counts.accepted++;
       clientReq.accepted(req.assignedId, req::path);
       req.deadlineTimer = loop.after(attributes.budget().minus(settings.settings().tick().dividedBy(4)), () -> deadlineReached(req));
--- a/src/main/java/gapproxy/gateway/Req.java
+++ b/src/main/java/gapproxy/gateway/Req.java
@@ -70,6 +70,20 @@
       return readAt == null ? now : readAt;
     }
 
+    /** The shortest time in which its server has begun to answer a call lately; zero if the call does not tell that. */
+    Duration shortestResponseTime() {
+      return call == null ? Duration.ZERO : call.shortestResponseTime();
+    }
+
+    /** Runs a task after all that had arrived for the attempt by now was passed on. */
+    void afterNextRead(Runnable task) {
+      if (call == null) {
+        task.run();
+      } else {
+        call.afterNextRead(task);
+      }
+    }
+
     /** Drops the references to the call, which holds the request's body, and to pieces of an answer that was not used. */
     private void releaseBytes() {
       call = null;
@@ -127,7 +141,7 @@
   boolean answered;
   /** Whether reading of the answer is paused until the client accepts more data. */
   boolean paused;
-  Duration timeToFirstToken, timeToReadEnd, lastChunkAt;
+  Duration timeToFirstToken, timeToReadEnd;
   long answerTokens;
 
   Req(long number, String assignedId, ClientReq client, Duration receivedAt) {
--- a/src/main/java/gapproxy/gateway/StreamActivity.java
+++ b/src/main/java/gapproxy/gateway/StreamActivity.java
@@ -4,11 +4,18 @@
 import java.time.Duration;
 
 /**
- * What has been received of one answer that has begun, and when it was read from the socket. All times are on the clock of the loop, to which
- * this object is confined.
+ * What has been received of one answer that has begun, and when. All times are on the clock of the loop, to which this object is confined.
  */
 final class StreamActivity {
-  /** What the server has left unsaid when a stream falls silent. */
+  /**
+   * When data came from a server.
+   *
+   * @param earliest the earliest time at which the server may have sent it
+   * @param readAt when it was read from the socket
+   */
+  record Arrival(Duration earliest, Duration readAt) {}
+
+  /** What a server has left unsaid when it falls silent. */
   enum Silence {
     /** Nothing came after the last event. */
     AFTER_EVENT,
@@ -18,28 +25,61 @@
     IN_PART
   }
 
-  private Duration lastEventAt;
+  private Arrival lastEvent;
   private Duration lastReadAt;
+  private Duration lastPartAt;
+  private Duration longestRestInEvent = Duration.ZERO;
+  private boolean commentCounts;
   private Silence silence = Silence.AFTER_EVENT;
-  private Duration pausedTotal = Duration.ZERO;
   private Duration pausedAt;
+  private Duration resumedAt = Duration.ZERO;
+  private Duration pausedTotal = Duration.ZERO;
 
-  /** @param firstEventAt when the first event was read */
-  StreamActivity(Duration firstEventAt) {
-    lastEventAt = firstEventAt;
-    lastReadAt = firstEventAt;
+  /** @param firstEvent when the first event, or its first part, arrived */
+  StreamActivity(Arrival firstEvent) {
+    lastEvent = firstEvent;
+    lastReadAt = firstEvent.readAt();
   }
 
-  /** Records what one read brought. */
-  void received(StreamContent content, Duration readAt) {
-    lastReadAt = readAt;
+  /**
+   * Records what one read brought.
+   *
+   * @param policy decides whether a comment that is begun counts as something that is being written
+   */
+  void received(StreamContent content, Arrival arrival, StreamSilencePolicy policy) {
+    lastReadAt = arrival.readAt();
     switch (content) {
-      case EVENT -> {
-        lastEventAt = readAt;
-        silence = Silence.AFTER_EVENT;
+      case EVENT -> eventReceived(arrival);
+      case EVENT_PART -> partReceived();
+      case COMMENT_BEGUN -> {
+        commentCounts = policy.countsComment(this, lastReadAt);
+        commentReceived();
       }
-      case EVENT_PART, COMMENT_PART -> silence = Silence.IN_PART;
-      default -> silence = Silence.AFTER_COMMENTS;
+      case COMMENT_PART -> commentReceived();
+      case COMMENTS -> silence = lastPartAt == null ? Silence.AFTER_COMMENTS : silence;
+    }
+  }
+
+  private void eventReceived(Arrival arrival) {
+    lastEvent = arrival;
+    lastPartAt = null;
+    longestRestInEvent = Duration.ZERO;
+    commentCounts = false;
+    silence = Silence.AFTER_EVENT;
+  }
+
+  private void partReceived() {
+    Duration rest = lastReadAt.minus(lastPartAt == null ? lastEvent.readAt() : lastPartAt);
+    longestRestInEvent = rest.compareTo(longestRestInEvent) > 0 ? rest : longestRestInEvent;
+    lastPartAt = lastReadAt;
+    silence = Silence.IN_PART;
+  }
+
+  private void commentReceived() {
+    if (commentCounts) {
+      partReceived();
+    } else {
+      silence = Silence.AFTER_COMMENTS;
     }
   }
 
@@ -51,12 +91,37 @@
   /** Records that reading goes on after a pause. */
   void resumed(Duration now) {
     pausedTotal = pausedTotal.plus(now.minus(pausedAt));
+    resumedAt = now;
     pausedAt = null;
   }
 
-  /** When the last read that completed an event was made. */
-  Duration lastEventAt() {
-    return lastEventAt;
+  boolean isPaused() {
+    return pausedAt != null;
+  }
+
+  /** When the last pause ended; zero if there was none. */
+  Duration resumedAt() {
+    return resumedAt;
+  }
+
+  /** How long reading was paused in all. */
+  Duration pausedTotal() {
+    return pausedTotal;
+  }
+
+  /** The arrival of the read that completed an event last. */
+  Arrival lastEvent() {
+    return lastEvent;
+  }
+
+  /** When bytes of an event or a comment that was not complete were read last; null if there were none since the last event. */
+  Duration lastPartAt() {
+    return lastPartAt;
+  }
+
+  /** The longest time between two reads of such bytes, including the time before the first. */
+  Duration longestRestInEvent() {
+    return longestRestInEvent;
   }
 
   /** When bytes of any kind were read last. */
@@ -68,9 +133,4 @@
   Silence silence() {
     return silence;
   }
-
-  /** How long reading was paused in all. */
-  Duration pausedTotal() {
-    return pausedTotal;
-  }
 }
--- /dev/null
+++ b/src/main/java/gapproxy/gateway/StreamSilencePolicy.java
@@ -0,0 +1,57 @@
+package gapproxy.gateway;
+
+import java.time.Duration;
+
+/**
+ * Decides when an answer is ended because its server has fallen silent.
+ *
+ * <p>The time runs from the last whole event. Comments and blank lines are no events and change nothing. Bytes of an event that is not
+ * complete don't start the time anew; but an event that is still being written when the time is over may be completed. It counts as
+ * being written while no rest between its bytes is much longer than the longest before.
+ *
+ * <p>Where the client has to see the end by a time, the answer is ended earlier by a reserve. An event may have been sent before it is read: by
+ * the time that bytes are on their way, and by that of a hold-up of the process. The time is counted from the earliest moment, as far as
+ * the longest rest that has to stay possible allows.
+ */
+final class StreamSilencePolicy {
+  /** From the earliest time of the event: allows for a hold-up of the process of 150 ms before the end, and for turns of the loop. */
+  private static final Duration RESERVE = Duration.ofMillis(170);
+  /** From the time of reading, where the event may have been sent much earlier: rests of up to 4.75 s on the platform stay possible. */
+  private static final Duration LARGEST_RESERVE = Duration.ofMillis(290);
+  /** How much longer than the longest rest in an event the next one may be. */
+  private static final Duration REST_TOLERANCE = Duration.ofMillis(500);
+
+  private final Duration endAfter;
+  private final Duration endAfterRead;
+
+  StreamSilencePolicy(SilenceLimit limit) {
+    boolean early = limit.side() == SilenceLimit.Side.END_BEFORE;
+    endAfter = early ? limit.time().minus(RESERVE) : limit.time();
+    endAfterRead = early ? limit.time().minus(LARGEST_RESERVE) : limit.time();
+  }
+
+  /** When the answer is to be ended if nothing more is received until then. The time of a client's rest does not count. */
+  Duration endAt(StreamActivity activity, Duration now) {
+    if (activity.isPaused()) {
+      return now.plus(endAfter);
+    }
+    Duration resumedAt = activity.resumedAt();
+    Duration earliest = latest(activity.lastEvent().earliest(), resumedAt);
+    Duration read = latest(activity.lastEvent().readAt(), resumedAt);
+    Duration endAt = latest(earliest.plus(endAfter), read.plus(endAfterRead));
+    if (activity.lastPartAt() == null) {
+      return endAt;
+    }
+    Duration rest = activity.longestRestInEvent().plus(REST_TOLERANCE);
+    return latest(endAt, activity.lastPartAt().plus(rest.compareTo(endAfter) < 0 ? rest : endAfter));
+  }
+
+  /** Whether a comment that is begun at a time may still be completed after the end of the time for the next event. */
+  boolean countsComment(StreamActivity activity, Duration begunAt) {
+    return begunAt.compareTo(activity.lastEvent().readAt().plus(endAfter)) < 0;
+  }
+
+  private static Duration latest(Duration a, Duration b) {
+    return a.compareTo(b) > 0 ? a : b;
+  }
+}
--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -119,6 +119,7 @@
   private final Duration idleTimeout;
   private final Map<InetSocketAddress, ArrayDeque<ClientConnection>> pool = new HashMap<>();
   private final Map<InetSocketAddress, Duration> lastHeardAt = new HashMap<>(); // when data was last received
+  private final Map<InetSocketAddress, ShortestResponseTime> responseTimes = new HashMap<>();
   private final int maxConnections;
   private final MemoryBudget budget;
   private IdleLimit idleLimit;
@@ -281,6 +282,11 @@
     return lastHeardAt.get(from);
   }
 
+  /** The number of idle connections to an address in the pool. */
+  int idleConnections(InetSocketAddress address) {
+    return pool.containsKey(address) ? pool.get(address).size() : 0;
+  }
+
   /** Whether the pool has an idle connection to an address. */
   public boolean hasIdleConnection(InetSocketAddress address) {
     return pool.containsKey(address);
@@ -289,6 +295,7 @@
   /** Closes the idle connections to an address and forgets when data was received from it; null closes all idle connections. */
   public void closeIdle(InetSocketAddress to) {
     lastHeardAt.remove(to);
+    responseTimes.remove(to);
     pool.forEach((address, connections) -> {
       if (to == null || address.equals(to)) {
         connections.forEach(conn -> conn.connection.closeSilently());
@@ -452,6 +459,21 @@
       }
     }
 
+    /** Runs a task on the loop after all that had arrived on the call's connection by now was read and passed on. */
+    public void afterNextRead(Runnable task) {
+      if (finished || connection == null) {
+        task.run();
+      } else {
+        net.afterNextRead(connection.connection, () -> loop.execute(task));
+      }
+    }
+
+    /** The shortest time in which the server has begun to answer a call lately, this one included; zero if it has answered none. */
+    public Duration shortestResponseTime() {
+      ShortestResponseTime shortest = responseTimes.get(address);
+      return shortest == null ? Duration.ZERO : shortest.get();
+    }
+
     /** When the response data that was passed on last had been read from the socket, on the clock of the loop; null if there was none. */
     public Duration lastReadAt() {
       return lastReadAt;
@@ -782,6 +804,7 @@
     conn.responseStarted = true;
     if (part.isFirst) {
       conn.startedResponses++;
+      responseTimes.computeIfAbsent(conn.address, a -> new ShortestResponseTime()).record(part.readAt.minus(call.startedAt), loop.now());
       call.listener.head(part.status, part.headers);
     }
     if (part.bytes.length > 0 && conn.call == call) {
--- a/src/main/java/gapproxy/platform/EventSplitter.java
+++ b/src/main/java/gapproxy/platform/EventSplitter.java
@@ -44,8 +44,10 @@
   private boolean insideBlock;
   // Whether parts of the current event or comment have already been forwarded.
   private boolean partForwarded;
-  // Whether the current call of feed has completed an event.
-  private boolean eventCompleted;
+  // Whether the current call of feed has completed an event, or a comment.
+  private boolean eventCompleted, commentCompleted;
+  // Whether the current call of feed has brought bytes of an event other than comment lines.
+  private boolean eventBytesReceived;
 
   EventSplitter(Listener listener) {
     this.listener = listener;
@@ -60,6 +62,8 @@
   StreamContent feed(byte[] bytes) {
     boolean continuesComment = isInComment();
     eventCompleted = false;
+    commentCompleted = false;
+    eventBytesReceived = false;
     int from = 0;
     for (int i = 0; i < bytes.length; i++) {
       byte b = bytes[i];
@@ -74,18 +78,23 @@
       }
     }
     buffer.write(bytes, from, bytes.length - from);
+    eventBytesReceived |= from < bytes.length && firstLineByte != ':';
     forwardLongEvent();
     if (eventCompleted) {
       return StreamContent.EVENT;
-    } else if (insideEvent()) {
+    } else if (eventBytesReceived) {
       return StreamContent.EVENT_PART;
     }
-    return continuesComment || isInComment() ? StreamContent.COMMENT_PART : StreamContent.COMMENTS;
+    if (isInComment() && (!continuesComment || commentCompleted)) {
+      return StreamContent.COMMENT_BEGUN;
+    }
+    return continuesComment ? StreamContent.COMMENT_PART : StreamContent.COMMENTS;
   }
 
   private void endLine() {
     boolean blank = lineBytes == 0 || lineBytes == 1 && lastLineByte == '\r';
     boolean comment = isInComment();
+    eventBytesReceived |= !blank && firstLineByte != ':';
     lineBytes = 0;
     if (insideBlock && blank) {
       completeEvent();
@@ -163,6 +172,7 @@
   }
 
   private void completeComment() {
+    commentCompleted = true;
     byte[] bytes = takeBuffer();
     if (partForwarded) {
       partForwarded = false;
--- a/src/main/java/gapproxy/platform/PlatformNode.java
+++ b/src/main/java/gapproxy/platform/PlatformNode.java
@@ -4,6 +4,7 @@
 import gapproxy.gateway.Gateway;
 import gapproxy.gateway.GatewaySettings;
 import gapproxy.gateway.KnownListPolicy;
+import gapproxy.gateway.SilenceLimit;
 import gapproxy.http.ServerLimits;
 import gapproxy.http.HttpClient;
 import gapproxy.list.ListSource;
@@ -27,8 +28,8 @@
   private static final int RESERVED_DESCRIPTORS = 40;
   // The protocol allows closing a connection on which a client has sent no complete req within this time.
   private static final Duration FIRST_REQ_TIMEOUT = Duration.ofMillis(2000);
-  // How long a model server may send nothing during an answer: the 5 s that the protocol allows, less what a turn of the loop may take.
-  private static final Duration MAX_STREAM_GAP = Duration.ofMillis(4950);
+  // A client must not be left waiting for longer after a running server's last event: 5 s, and 50 ms on sockets.
+  private static final SilenceLimit SILENCE_LIMIT = new SilenceLimit(Duration.ofMillis(5050), SilenceLimit.Side.END_BEFORE);
   // After SIGTERM, the process is not killed before this time has passed, or the longest time budget if that is shorter.
   private static final Duration KILL_DELAY = Duration.ofSeconds(3);
   // Where clients resume broken streams, open streams are ended this long before the earliest possible kill.
@@ -76,7 +77,7 @@
     Duration stopTimeout = wireSettings.clientsResume() && killDelay.compareTo(KILL_MARGIN) > 0 ? killDelay.minus(KILL_MARGIN)
         : STOP_TIMEOUT;
     GatewaySettings gatewaySettings = new GatewaySettings(config.name(), wireSettings.settings(), wireSettings.groups(),
-        wireSettings.zones(), wireSettings.kinds(), wireSettings.releaseWithin(), MAX_ANSWER_TIME, MAX_STREAM_GAP, stopTimeout,
+        wireSettings.zones(), wireSettings.kinds(), wireSettings.releaseWithin(), MAX_ANSWER_TIME, SILENCE_LIMIT, stopTimeout,
         connectionsPerSide * 9 / 10, true);
     gateway = new Gateway(gatewaySettings, loop, new PlatformFrontend(config.listen(), loop, net, serverLimits, budget, wireSettings),
         new PlatformServers(http, loop, wireSettings),
--- a/src/test/java/gapproxy/gateway/StartTimesTest.java
+++ b/src/test/java/gapproxy/gateway/StartTimesTest.java
@@ -114,7 +114,7 @@
   private static GatewaySettings singleClockTerms() throws Exception {
     GatewaySettings settings = GatewaySettings.of(config());
     return new GatewaySettings(settings.name(), settings.settings(), settings.groups(), settings.zones(), settings.kinds(),
-        settings.releaseWithin(), settings.maxAnswerTime(), settings.maxTokenGap(), settings.stopTimeout(), settings.maxOpenReqs(), true);
+        settings.releaseWithin(), settings.maxAnswerTime(), settings.silenceLimit(), settings.stopTimeout(), settings.maxOpenReqs(), true);
   }
 
   /** If servers and this machine share one clock, start times stay correct whichever way that clock is stepped. */
--- /dev/null
+++ b/src/test/java/gapproxy/gateway/StreamSilencePolicyTest.java
@@ -0,0 +1,163 @@
+package gapproxy.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gapproxy.gateway.StreamActivity.Arrival;
+import gapproxy.http.StreamContent;
+import gapproxy.runtime.ManualLoop;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Both sides of the limit on a server's silence, by times. */
+class StreamSilencePolicyTest {
+  /** Within the protocol's 5.05 s, with a hold-up of 150 ms. */
+  private static final Duration LATEST_DECISION = Duration.ofMillis(5050 - 150);
+  private static final Duration LONGEST_REST = Duration.ofMillis(4750);
+  private static final SilenceLimit LIMIT = new SilenceLimit(Duration.ofMillis(5050), SilenceLimit.Side.END_BEFORE);
+
+  private final StreamSilencePolicy policy = new StreamSilencePolicy(LIMIT);
+  private final StreamActivity activity = new StreamActivity(at(0));
+
+  private static Arrival at(long ms) {
+    return new Arrival(Duration.ofMillis(ms), Duration.ofMillis(ms));
+  }
+
+  private void receive(StreamContent content, long ms) {
+    activity.received(content, at(ms), policy);
+  }
+
+  private Duration endAt(long nowMs) {
+    return policy.endAt(activity, Duration.ofMillis(nowMs));
+  }
+
+  private void assertEndsInTime() {
+    assertTrue(endAt(4700).compareTo(LATEST_DECISION) <= 0, endAt(4700).toString());
+    assertTrue(endAt(4700).compareTo(LONGEST_REST) > 0, endAt(4700).toString());
+  }
+
+  @Test
+  void silenceAfterAnEventEndsBetweenBothSides() {
+    assertEndsInTime();
+  }
+
+  /** Each comment and blank line moved the end. */
+  @Test
+  void commentsDoNotMoveTheEnd() {
+    for (int ms = 100; ms < 4800; ms += 100) {
+      receive(StreamContent.COMMENTS, ms);
+    }
+    assertEndsInTime();
+  }
+
+  /** A part of an event moved the end by as much as it came later. */
+  @ParameterizedTest
+  @ValueSource(longs = {0, 100, 400, 1000, 1600, 2000, 2200})
+  void partOfAnEventDoesNotMoveTheEnd(long partMs) {
+    receive(StreamContent.EVENT_PART, partMs);
+    assertTrue(endAt(4700).compareTo(Duration.ofMillis(4900)) <= 0, endAt(4700).toString());
+    assertTrue(endAt(4700).compareTo(LONGEST_REST) > 0);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {50, 400, 1200, 1500, 2500, 3000, 4000, 4700})
+  void eventThatIsBeingWrittenIsNotEnded(long restMs) {
+    for (long ms = restMs; ms < 30_000; ms += restMs) {
+      assertTrue(endAt(ms).compareTo(Duration.ofMillis(ms)) > 0, "ended before " + ms + " ms");
+      receive(StreamContent.EVENT_PART, ms);
+    }
+  }
+
+  @Test
+  void eventThatIsNoLongerWrittenEndsSoon() {
+    for (long ms = 400; ms <= 8000; ms += 400) {
+      receive(StreamContent.EVENT_PART, ms);
+    }
+    assertTrue(endAt(8000).compareTo(Duration.ofMillis(9000)) < 0, endAt(8000).toString());
+  }
+
+  /** Comments in two pieces each would hold a client for ever. */
+  @Test
+  void commentsInPiecesDoNotMoveTheEndForEver() {
+    long ms = 0;
+    while (endAt(ms).toMillis() > ms && ms < 20_000) {
+      ms += 700;
+      receive(StreamContent.COMMENT_BEGUN, ms);
+      ms += 700;
+      receive(StreamContent.COMMENT_PART, ms);
+    }
+    assertTrue(ms < 8000, "not ended by " + ms + " ms");
+  }
+
+  /** Bytes and the client's end are on their way; a hold-up of 150 ms comes on top while both ways take 100 ms. */
+  @ParameterizedTest
+  @CsvSource({"1,150", "18,150", "50,150", "100,90", "140,0"})
+  void wayOfTheBytesIsPartOfTheTime(long wayMs, long heldUpMs) {
+    activity.received(StreamContent.EVENT, new Arrival(Duration.ofMillis(10_000 - 2 * wayMs), Duration.ofMillis(10_000)), policy);
+    Duration sentAt = Duration.ofMillis(10_000 - wayMs);
+    Duration clientsEnd = endAt(10_000).plusMillis(wayMs + heldUpMs);
+    assertTrue(clientsEnd.minus(sentAt).compareTo(LIMIT.time()) <= 0, clientsEnd.minus(sentAt).toString());
+    assertTrue(endAt(10_000).compareTo(sentAt.plusMillis(wayMs).plus(LONGEST_REST)) > 0, "rest of 4.75 s");
+  }
+
+  /** What is read after a hold-up may have come at its beginning or at its end. */
+  @ParameterizedTest
+  @CsvSource({"0", "50", "100", "150"})
+  void eventReadAfterHoldUpKeepsBothSides(long heldUpMs) {
+    activity.received(StreamContent.EVENT, new Arrival(Duration.ofMillis(10_000 - heldUpMs), Duration.ofMillis(10_000)), policy);
+    Duration end = endAt(10_000);
+    assertTrue(end.compareTo(Duration.ofMillis(10_000).plus(LONGEST_REST)) > 0, "an event that came at the end of the hold-up: " + end);
+    assertTrue(end.compareTo(Duration.ofMillis(10_000 - heldUpMs + 5050 - 130)) <= 0, "one that came at its beginning: " + end);
+  }
+
+  @Test
+  void timeOfClientsRestDoesNotCount() {
+    activity.paused(Duration.ofMillis(1000));
+    assertTrue(endAt(60_000).compareTo(Duration.ofMillis(60_000)) > 0);
+    activity.resumed(Duration.ofMillis(60_000));
+    assertTrue(endAt(60_000).compareTo(Duration.ofMillis(64_750)) > 0);
+    assertTrue(endAt(60_000).compareTo(Duration.ofMillis(60_000).plus(LATEST_DECISION)) <= 0);
+  }
+
+  /** When the time was over between two readings of the clock, a whole further gap began. */
+  @Test
+  void endInThePastStaysInThePast() {
+    assertEquals(endAt(100), endAt(100_000));
+  }
+
+  @Test
+  void earliestEndIsKeptWhereThatSideBinds() {
+    SilenceLimit gap = new SilenceLimit(Duration.ofSeconds(30), SilenceLimit.Side.END_AFTER);
+    assertEquals(Duration.ofSeconds(30), new StreamSilencePolicy(gap).endAt(activity, Duration.ZERO));
+  }
+
+  @Test
+  void holdUpIsNoticedByTimersAndByReads() {
+    ManualLoop loop = new ManualLoop();
+    StallDetector stalls = new StallDetector(loop, () -> true);
+    stalls.start();
+    loop.runUntil(Duration.ofMillis(1000));
+    assertEquals(Duration.ofMillis(990), stalls.earliestArrival(Duration.ofMillis(990)), "no hold-up");
+    loop.advanceWithoutRunning(Duration.ofMillis(150));
+    assertEquals(Duration.ofMillis(1000), stalls.earliestArrival(loop.now()), "before the timer ran");
+    loop.runUntil(loop.now().plusMillis(5));
+    assertEquals(Duration.ofMillis(1000), stalls.earliestArrival(Duration.ofMillis(1150)), "after it ran");
+    loop.runUntil(loop.now().plusMillis(100));
+    assertEquals(Duration.ofMillis(1250), stalls.earliestArrival(Duration.ofMillis(1250)), "the hold-up is over");
+  }
+
+  @Test
+  void noTimerRunsWhileNothingIsWatched() {
+    ManualLoop loop = new ManualLoop();
+    boolean[] needed = {true};
+    StallDetector stalls = new StallDetector(loop, () -> needed[0]);
+    stalls.start();
+    needed[0] = false;
+    loop.runUntil(Duration.ofMillis(100));
+    loop.advanceWithoutRunning(Duration.ofSeconds(10));
+    assertEquals(Duration.ofMillis(9000), stalls.earliestArrival(Duration.ofMillis(9000)), "an idle process is not held up");
+  }
+}
--- a/src/test/java/gapproxy/platform/EventSplitterTest.java
+++ b/src/test/java/gapproxy/platform/EventSplitterTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import gapproxy.http.StreamContent;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -118,4 +119,31 @@
     assertThrows(IllegalStateException.class, () -> split("noise\n\n", 2));
     assertThrows(IllegalStateException.class, () -> split(FIRST + "noise\n\n", 2));
   }
+
+  /** Comments and blank lines passed for signs of a server that goes on with its answer. */
+  @Test
+  void eachReadIsTakenForWhatItBrings() {
+    EventSplitter splitter = new EventSplitter(new Recorder());
+    assertEquals(StreamContent.EVENT, feed(splitter, FIRST));
+    assertEquals(StreamContent.COMMENTS, feed(splitter, ": c\n"));
+    assertEquals(StreamContent.COMMENTS, feed(splitter, "\n"));
+    assertEquals(StreamContent.COMMENTS, feed(splitter, "\r\n: c\n: d\n"));
+    assertEquals(StreamContent.COMMENT_BEGUN, feed(splitter, ": e"));
+    assertEquals(StreamContent.COMMENT_PART, feed(splitter, "e"));
+    assertEquals(StreamContent.COMMENT_BEGUN, feed(splitter, "\n: f"));
+    assertEquals(StreamContent.COMMENT_PART, feed(splitter, "\n"));
+    assertEquals(StreamContent.EVENT_PART, feed(splitter, "d"));
+    assertEquals(StreamContent.EVENT_PART, feed(splitter, "ata: 1\n"));
+    assertEquals(StreamContent.COMMENTS, feed(splitter, ": inside of an event\n"));
+    assertEquals(StreamContent.COMMENTS, feed(splitter, ": in"));
+    assertEquals(StreamContent.COMMENTS, feed(splitter, "side\n"));
+    assertEquals(StreamContent.EVENT_PART, feed(splitter, "data: 2"));
+    assertEquals(StreamContent.EVENT_PART, feed(splitter, "\n"));
+    assertEquals(StreamContent.EVENT, feed(splitter, "\n"));
+    assertEquals(StreamContent.EVENT, feed(splitter, "data: 3\n\ndata: 4"));
+  }
+
+  private static StreamContent feed(EventSplitter splitter, String text) {
+    return splitter.feed(text.getBytes(StandardCharsets.UTF_8));
+  }
 }
--- a/src/test/java/gapproxy/sim/Mutants.java
+++ b/src/test/java/gapproxy/sim/Mutants.java
@@ -38,7 +38,7 @@
           "    attempt.timeoutTimer = loop.after(action.timeOut().plus(Duration.ofSeconds(5)), () -> {"),
       new Mutant("whole answers have no deadline", GATEWAY, "    if (req.client.streaming()) {\n",
           "    req.deadlineTimer.cancel();\n    if (req.client.streaming()) {\n"),
-      new Mutant("a silent engine is waited for", GATEWAY, "    watch(attempt);\n    req.timeToFirstToken", "    req.timeToFirstToken"),
+      new Mutant("a silent engine is waited for", GATEWAY, "    streamWatch.watch(attempt);\n    req.timeToFirstToken", "    req.timeToFirstToken"),
       new Mutant("a forward's end is not told", GATEWAY,
           "    pendingEvents.add(new Event.Ended(req.number, attempt.number, outcome, stateGone ? 1 : note, req.answered,\n"
               + "        loop.now().minus(attempt.startedAt), attempt.loadReport));\n", ""),
--- a/src/test/java/gapproxy/soak/SilentStreamTest.java
+++ b/src/test/java/gapproxy/soak/SilentStreamTest.java
@@ -83,7 +83,7 @@
         script("comments", false, (Object) repeat(9, other(1500, ": still here\n"))),
         script("many comments", false, (Object) repeat(130, other(100, ": still here\n"))),
         script("blank lines", false, (Object) repeat(9, other(1500, "\n"))),
-        script("a part and comments", false, other(300, half() + "\n"), repeat(9, other(1500, "\n\n"))),
+        script("a part and comments in it", false, other(300, half() + "\n"), repeat(9, other(1500, ": still here\n"))),
         script("bytes of a chunk's size", false,
             (Object) repeat(9, new Step(Duration.ofMillis(1500), "0", Form.RAW))),
         script("no last chunk", false, end(50)));
