Wait until both connections are idle in HttpClientRaceTest

unresponsiveRequestClosesOlderIdleConnections timed out once beside two other test runs. It paused 50 ms for two connections to be in the pool, where they come after 50 ms and a read since: the silent call then opened a third. It waits for them now; its check is as it was.

--- a/src/test/java/gapproxy/http/HttpClientRaceTest.java
+++ b/src/test/java/gapproxy/http/HttpClientRaceTest.java
@@ -92,6 +92,16 @@
     new CountDownLatch(1).await(millis, TimeUnit.MILLISECONDS);
   }
 
+  private void awaitIdleConnections(int count) throws InterruptedException {
+    InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+    int[] idle = new int[1];
+    for (int i = 0; i < 500 && idle[0] < count; i++) {
+      pause(10);
+      loop.runAndWait(() -> idle[0] = http.idleConnections(address));
+    }
+    assertEquals(count, idle[0]);
+  }
+
   private void assertNextRequestUsesNewConnection() throws Exception {
     CompletableFuture<Result> next = ask();
     try (Socket socket = accept()) {
@@ -141,7 +151,7 @@
       }
       first.get(5, TimeUnit.SECONDS);
       second.get(5, TimeUnit.SECONDS);
-      pause(50);                                              // both connections are idle in the pool by now
+      awaitIdleConnections(2);
       HttpClient.Call[] call = new HttpClient.Call[1];
       loop.runAndWait(() -> call[0] = http.call(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), "GET", "/silent",
           Map.of(), new byte[0], Duration.ofSeconds(5), new BufferedResponseListener(100, (status, h, body, failure, why) -> { })));
