Release what may be held when an answer breaks off after its first token

By reading, the gateway takes the first token for proof that nothing is held any longer. That is no proof where the token was another answer's, or a part of a spoilt stream, and nothing was released when the answer broke off. An answer that ends without its last event now enters what was recorded for its id again: one release follows, repeated while the server's close may be late if the server had fallen silent.

--- a/src/main/java/gapproxy/gateway/HeldResources.java
+++ b/src/main/java/gapproxy/gateway/HeldResources.java
@@ -116,11 +116,15 @@
     }
   }
 
-  /** Records the end of an attempt. It may leave a held state of its own, or resources that a release spared because it needed them. */
+  /**
+   * Records the end of an attempt. It may leave a held state of its own, or resources that a release spared because it needed them. An answer
+   * that broke off no longer proves by its first token that its server has taken what was held: the token may have been another one's, or
+   * a part of a spoilt stream.
+   */
   void ended(Req.Attempt attempt) {
     Req req = attempt.req;
     boolean neverReachedServer = attempt.outcome == Outcome.NOT_SENT || attempt.outcome == Outcome.NO_CONNECTION;
-    if (neverReachedServer || attempt.answerBegun) {
+    if (neverReachedServer || attempt.outcome == Outcome.DONE) {
       return;
     }
     boolean answered = attempt.outcome == Outcome.READ || attempt.outcome == Outcome.FULL
@@ -129,11 +133,14 @@
     req.lastUnansweredReadCloseAt = attempt.isRead() && !answered ? loop.now() : req.lastUnansweredReadCloseAt;
     boolean mayLeaveState = attempt.isRead() && attempt.outcome != Outcome.FULL;
     HeldResourceLedger heldLedger = req.ledgersById.get(attempt.serverRequestId);
-    boolean mayRetain = attempt.mayRetainAfterRelease || req.clientRequestId != null && heldLedger != null && heldLedger.isOpen();
-    Duration mayActUntil = answered ? loop.now() : loop.now().plus(maxCloseDelay);
+    boolean mayRetain = attempt.mayRetainAfterRelease
+        || req.clientRequestId != null && heldLedger != null && (heldLedger.isOpen() || attempt.answerBegun);
+    // A server that wrote an answer up to its break, or up to the client's close, has nothing left that could act later.
+    boolean over = answered || attempt.answerBegun && attempt.outcome != Outcome.TIMED_OUT;
+    Duration mayActUntil = over ? loop.now() : loop.now().plus(maxCloseDelay);
     if (mayLeaveState || mayRetain) {
-      recordMayHold(req, attempt.server, attempt.serverRequestId, mayActUntil, answered);
-    } else if (req.clientRequestId != null && !answered) {
+      recordMayHold(req, attempt.server, attempt.serverRequestId, mayActUntil, over);
+    } else if (req.clientRequestId != null && !over) {
       ledger(req, attempt.serverRequestId).recordUnansweredClose(attempt.server, loop.now(), mayActUntil);
     }
     if (attempt.outcome == Outcome.READ) {
