--- a/src/main/java/gapproxy/cli/SoakCommand.java
+++ b/src/main/java/gapproxy/cli/SoakCommand.java
@@ -71,10 +71,10 @@
         System.out.printf("seed %d: NO VERDICT, %s%n", soakPlan.seed(), result.harnessFault());
         return result;
       }
-      System.out.printf("seed %d: %s; asked %d %s; streams %d, late %d, late under trouble %d; longest held %d ms (%s); "
+      System.out.printf("seed %d: %s; asked %d %s; streams %d, late %d, late under trouble %d, broken off %d; longest held %d ms (%s); "
           + "injected %d, by the shim %d; harness late by up to %d ms; killed while stopping %d%n",
           soakPlan.seed(), result.passed() ? "nothing found" : "FOUND", result.requests(), result.outcomes(), result.verdict().streams(),
-          result.verdict().lateStreams(), result.verdict().excusedStreams(),
+          result.verdict().lateStreams(), result.verdict().excusedStreams(), result.verdict().brokenStreams(),
           result.verdict().report().longestHeldMs(), result.verdict().report().longestHeldBy(), result.injectedFaults(),
           result.shimFaults(), result.latenessMs(), result.killedWhileStopping());
       result.violations().forEach(b -> System.out.println("  by the traffic: " + b));
--- a/src/main/java/gapproxy/soak/GatewayProcess.java
+++ b/src/main/java/gapproxy/soak/GatewayProcess.java
@@ -1,5 +1,6 @@
 package gapproxy.soak;
 
+import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.BindException;
@@ -35,6 +36,7 @@
   private final Path dir;
   private final int heapMb;
   private List<String> environment = List.of();
+  private String classPath = System.getProperty("java.class.path");
   // Held while this object is in use, so that no other copy of the tests draws the same port.
   private final DatagramSocket portReservation;
   private Process process;
@@ -88,6 +90,11 @@
     environment = variables;
   }
 
+  /** Makes the next start use the classes in a directory in place of those of the same name. */
+  void overrideClasses(Path directory) {
+    classPath = directory + File.pathSeparator + System.getProperty("java.class.path");
+  }
+
   Path config() {
     return dir.resolve(name + ".json");
   }
@@ -106,7 +113,7 @@
     command.addAll(FLAGS);
     command.add("-Xms" + Math.min(INITIAL_HEAP_MB, heapMb) + "m");
     command.add("-Xmx" + heapMb + "m");
-    command.addAll(List.of("-cp", System.getProperty("java.class.path"), "gapproxy.cli.Main", "node"));
+    command.addAll(List.of("-cp", classPath, "gapproxy.cli.Main", "node"));
     ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true)
         .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
     b.environment().put("LB_CONFIG", config().toString());
--- a/src/main/java/gapproxy/soak/Soak.java
+++ b/src/main/java/gapproxy/soak/Soak.java
@@ -38,6 +38,8 @@
   private static final Duration DISCOVERY_TIMEOUT = Duration.ofSeconds(6), RELOAD_TIMEOUT = Duration.ofSeconds(4),
       OLD_DISCOVERY_OPEN = Duration.ofMillis(1500);
   private static final Duration STOP_NOTICE_DELAY = Duration.ofMillis(300), RECOVERY_TIME = Duration.ofSeconds(1);
+  // for an event that is written slowly, and the rest of its stream
+  private static final Duration ODD_STREAM_TIME = Duration.ofSeconds(8);
   private static final Duration SETTLE_TIME = Duration.ofMillis(2700), REFUSAL_DELAY = Duration.ofMillis(700);
   private static final Duration SINGLE_SILENCE_INTERVAL = Duration.ofMillis(150), MAX_HARNESS_DELAY = Duration.ofMillis(300);
   private static final double SILENCED_SHARE = 0.8, SINGLE_SILENCE_SHARE = 0.08, ROLE_SILENCE_SHARE = 0.8;
@@ -105,6 +107,7 @@
   private final Duration[][] serverTroubleUntil;  // end of the last fault of each hop
   private final Duration[] discoveryTroubleUntil, gatewayTroubleUntil;
   private final List<GatewayProcess.ResourceUsage> usageAtStart = new ArrayList<>();
+  private Path gatewayClasses;
   private SoakJudge judge;
   private SoakBackends backends;
   private SoakClients clients;
@@ -139,6 +142,11 @@
     gatewayTroubleUntil = new Duration[plan.gateways()];
   }
 
+  /** Makes the gateways use the classes in a directory in place of those of the same name; tests plant faults that way. */
+  void overrideGatewayClasses(Path directory) {
+    gatewayClasses = directory;
+  }
+
   /** Runs the plan and returns its result. */
   public Result run() throws IOException, InterruptedException {
     judge = new SoakJudge(new Audit.Limits(DRAIN_GRACE, plan.settings().release(), plan.settings().window(), SLACK),
@@ -154,7 +162,7 @@
     executor.execute(this::watchProcesses);
     sleep(plan.length());
     runOnLoop(clients::end);
-    sleep(plan.settings().longestBudget().plus(SETTLE_TIME));
+    sleep(settleTime());
     List<String> resources = checkResources();
     stopAll();
     SoakVerdict[] verdict = new SoakVerdict[1];
@@ -178,6 +186,12 @@
         Math.max(lateness[0], proxy.longestIterationMs()), killedWhileStopping.get(), harnessFault(lateness[0]));
   }
 
+  /** Time after the last req until everything is over. */
+  private Duration settleTime() {
+    Duration settled = plan.settings().longestBudget().plus(SETTLE_TIME);
+    return plan.peers().oddStreams() > 0 ? later(settled, ODD_STREAM_TIME) : settled;
+  }
+
   private String harnessFault(long latenessMs) {
     if (proxy.failure() != null) {
       return "the fault proxy failed: " + proxy.failure();
@@ -237,6 +251,9 @@
         plantedFaults.contains(PlantedFault.WEAK_START) ? WEAK_START_RATE : rate / plan.readers(), plantedFaults);
     for (int g = 0; g < plan.gateways(); g++) {
       gateways.add(new GatewayProcess(SoakBackends.gatewayName(g), dir, plan.heapMb()));
+      if (gatewayClasses != null) {
+        gateways.get(g).overrideClasses(gatewayClasses);
+      }
       for (SoakBackends.ModelServer m : backends.servers) {
         serverHops[g][m.number] = proxy.openHop(m.address(g));
         m.proxyPorts[g] = serverHops[g][m.number].port();
--- a/src/main/java/gapproxy/soak/SoakBackends.java
+++ b/src/main/java/gapproxy/soak/SoakBackends.java
@@ -34,8 +34,10 @@
   private static final Duration HEARTBEAT_INTERVAL = Duration.ofSeconds(2), UNKNOWN_READ_DELAY = Duration.ofMillis(300),
       EVENT_INTERVAL = Duration.ofMillis(25), PLANTED_EVENT_AGE = Duration.ofMillis(400), POLL_INTERVAL = Duration.ofMillis(20);
   private static final Duration CLOSE_RACE_WINDOW = Duration.ofMillis(30);
+  // for longer than any client may be kept waiting
+  private static final Duration LEFT_OPEN = Duration.ofSeconds(12);
   private static final double UNKNOWN_READ_HOLD_SHARE = 0.5, NO_ROOM_SHARE = 0.1, FAILURE_SHARE_OF_ODD = 0.5,
-      FAILED_READ_STATE_SHARE = 0.5;
+      FAILED_READ_STATE_SHARE = 0.5, KEPT_STATE_SHARE = 0.3;
   private static final int EVENTS_PER_STREAM = 12, MAX_CONTENT_BYTES = 48 << 10;
   static final Duration WARM_UP = Duration.ofSeconds(10), OVERLOAD_WINDOW = Duration.ofSeconds(2);
   static final double START_CAPACITY = 0.25, OVERLOAD_MULTIPLE = 4;
@@ -43,7 +45,7 @@
   private final Loop loop;
   private final SoakJudge judge;
   private final SoakPlan.Settings settings;
-  private final SplittableRandom random, sizeRandom;
+  private final SplittableRandom random, sizeRandom, streamRandom;
   double longEvents;  // share of events that are long
   private final BiPredicate<Integer, Integer> delayed;
   private final Consumer<String> onAttempt;
@@ -81,6 +83,7 @@
     this.ratePerServer = ratePerServer;
     random = new SplittableRandom(plan.seed() + 1);
     sizeRandom = new SplittableRandom(plan.seed() + 10);
+    streamRandom = new SplittableRandom(plan.seed() + 11);
     peers = plan.peers();
     for (int i = 0; i < plan.readers() + plan.writers(); i++) {
       servers.add(new ModelServer(i, i < plan.readers(), net, plan.gateways()));
@@ -346,13 +349,18 @@
         exchange.respond(410, DECLINED, NONE);
         return;
       }
-      servers.forEach(m -> m.release(id, true));
+      StreamFault fault = streamRandom.nextDouble() < peers.oddStreams()
+          ? StreamFault.values()[streamRandom.nextInt(StreamFault.values().length)] : null;
+      boolean keepsState = fault != null && !fault.goesOn && streamRandom.nextDouble() < KEPT_STATE_SHARE;
+      if (!keepsState) {
+        servers.forEach(m -> m.release(id, true));
+      }
       judge.audit.ran(loop.now(), number, id, id, exchange.request().header("idempotency-key"));
       loop.after(Duration.ofMillis((stateHeld ? 15 : 70) + random.nextInt(30)), () -> {
         if (exchange.isOpen() && generation == startGeneration) {
           exchange.begin(200, Map.of("content-type", "text/event-stream"));
         }
-        writeEvent(exchange, id, startGeneration, 0);
+        new Stream(exchange, id, startGeneration, fault, keepsState).writeEvent(0);
       });
     }
 
@@ -360,24 +368,115 @@
       return "w".repeat(sizeRandom.nextDouble() < longEvents ? 1 + sizeRandom.nextInt(MAX_CONTENT_BYTES) : 1);
     }
 
-    private void writeEvent(Exchange exchange, String id, int startGeneration, int number) {
-      if (!exchange.isOpen() || generation != startGeneration) {
+    /** One answer that the server writes, with a fault in its midst or without one. */
+    private final class Stream {
+      private static final int EVENTS_BEFORE_FAULT = 4;
+
+      private final Exchange exchange;
+      private final String id;
+      private final int startGeneration;
+      private final StreamFault fault;
+      private final boolean keepsState;
+      private final StreamRecord streamRecord;
+
+      Stream(Exchange exchange, String id, int startGeneration, StreamFault fault, boolean keepsState) {
+        this.exchange = exchange;
+        this.id = id;
+        this.startGeneration = startGeneration;
+        this.fault = fault;
+        this.keepsState = keepsState;
+        int port = ((InetSocketAddress) exchange.connection().getPeerAddress()).getPort();
+        streamRecord = new StreamRecord(loop.now(), () -> silenceState.apply(port) != FaultProxy.SilenceState.NONE);
+      }
+
+      private boolean isOver() {
+        if (exchange.isOpen() && generation == startGeneration) {
+          return false;
+        }
+        streamRecord.endedByServer |= generation != startGeneration;
         recordAttemptEnd(exchange, id);
         exchange.terminate();
-      } else if (number < EVENTS_PER_STREAM) {
-        if (number == 0) {
-          servers.forEach(m -> m.release(id, true));  // the first event releases state that became held meanwhile
+        return true;
+      }
+
+      private void writeEvent(int number) {
+        if (isOver()) {
+          return;
+        } else if (number == 0) {
+          judge.streamBegun(id, streamRecord);
+          if (!keepsState) {
+            servers.forEach(m -> m.release(id, true));  // the first event releases state that became held meanwhile
+          }
         }
+        if (fault != null && number == EVENTS_BEFORE_FAULT) {
+          writeFault(0);
+        } else if (number < EVENTS_PER_STREAM) {
+          writeContent();
+          loop.after(EVENT_INTERVAL, () -> writeEvent(number + 1));
+        } else {
+          writeLastEvents();
+          end();
+        }
+      }
+
+      private void writeContent() {
+        streamRecord.lastEventAt = loop.now();
         Duration written = loop.now().minus(plantedFaults.contains(PlantedFault.OLD_EVENTS) ? PLANTED_EVENT_AGE : Duration.ZERO);
         exchange.write("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + content() + "\"},\"finish_reason\":null}],\"at\":"
             + written.toNanos() / 1000 + "}\n\n");
-        loop.after(EVENT_INTERVAL, () -> writeEvent(exchange, id, startGeneration, number + 1));
-      } else {
+      }
+
+      private void writeLastEvents() {
+        streamRecord.lastEventAt = loop.now();
         exchange.write("data: {\"choices\":[],\"usage\":{\"prompt_tokens\":900,\"completion_tokens\":9,"
             + "\"prompt_tokens_details\":{\"cached_tokens\":128}}}\n\ndata: [DONE]\n\n");
+      }
+
+      private void end() {
+        streamRecord.endedByServer = true;
         exchange.end();
         recordAttemptEnd(exchange, id);
       }
+
+      /** Writes what belongs to the fault, and then goes on, or leaves the answer open. */
+      private void writeFault(int next) {
+        if (isOver()) {
+          return;
+        } else if (next == fault.writes().size()) {
+          endFault();
+          return;
+        }
+        StreamFault.Write write = fault.writes().get(next);
+        whileOpen(loop.now().plus(write.pause()), () -> {
+          streamRecord.lastEventAt = write.completesEvent() ? loop.now() : streamRecord.lastEventAt;
+          streamRecord.spoilt |= fault == StreamFault.NOISE;
+          exchange.write(write.text());
+          writeFault(next + 1);
+        });
+      }
+
+      private void endFault() {
+        if (fault.goesOn) {
+          writeEvent(EVENTS_BEFORE_FAULT + 1 < EVENTS_PER_STREAM ? EVENTS_BEFORE_FAULT + 1 : EVENTS_PER_STREAM);
+        } else {
+          if (fault == StreamFault.NO_LAST_CHUNK) {
+            writeLastEvents();
+          }
+          whileOpen(loop.now().plus(LEFT_OPEN), this::end);
+        }
+      }
+
+      /** Runs a task at a time unless the answer is over by then, which is noticed at once. */
+      private void whileOpen(Duration at, Runnable task) {
+        if (isOver()) {
+          return;
+        } else if (loop.now().compareTo(at) >= 0) {
+          task.run();
+        } else {
+          Duration left = at.minus(loop.now());
+          loop.after(left.compareTo(POLL_INTERVAL) < 0 ? left : POLL_INTERVAL, () -> whileOpen(at, task));
+        }
+      }
     }
 
     /**
--- a/src/main/java/gapproxy/soak/SoakClients.java
+++ b/src/main/java/gapproxy/soak/SoakClients.java
@@ -145,7 +145,7 @@
     private int status;
     private final StringBuilder text = new StringBuilder();
     private Duration maxEventDelay = Duration.ZERO;
-    private boolean excused;
+    private boolean excused, rested;
     private Duration sentAt;
 
     ClientRequest(GatewayEndpoint endpoint, RequestClass requestClass, String id, int budgetMs, Duration leaveAfter) {
@@ -187,6 +187,7 @@
     private void readSlowly() {
       if (sizeRandom.nextDouble() < slowReaderShare) {
         excused = true;
+        rested = true;
         call.setReading(false);
         loop.after(Duration.ofMillis(200 + sizeRandom.nextInt(MAX_READ_PAUSE_MS)), () -> call.setReading(true));
       }
@@ -294,7 +295,11 @@
         judge.audit.left(loop.now(), id, 0, Traffic.Left.HUNG_UP);
         finish("crossed a close");
       } else if (!nothing && firstTokenSeen) {
+        boolean gatewayRuns = endpoint.generation == generation;
         judge.audit.answered(loop.now(), id, 0, Traffic.Answer.ABORTED);
+        if (gatewayRuns && !rested) {
+          judge.checkBrokenStream(loop.now(), id, excused || troubled.test(endpoint.gateway) || !endpoint.open);
+        }
         finish("stream broken");
       } else {
         judge.audit.left(loop.now(), id, 0, Traffic.Left.LOST);
--- a/src/main/java/gapproxy/soak/SoakJudge.java
+++ b/src/main/java/gapproxy/soak/SoakJudge.java
@@ -15,6 +15,10 @@
 final class SoakJudge {
   private static final Duration CANCEL_TOLERANCE = Duration.ofMillis(100), DEADLINE_TOLERANCE = Duration.ofMillis(150),
       LATE_EVENT_THRESHOLD = Duration.ofMillis(300);
+  // The protocol's limit on a client's wait after a running server's last event, the longest rest that has to stay possible, and what the
+  // harness itself may add to a time.
+  private static final Duration MAX_WAIT = Duration.ofMillis(5050), LONGEST_REST = Duration.ofMillis(4750),
+      HARNESS_TOLERANCE = Duration.ofMillis(100);
   private static final double MAX_LATE_STREAM_SHARE = 0.05;
   private static final int MAX_SHOWN = 40;
 
@@ -24,7 +28,8 @@
   private final List<String> violations = new ArrayList<>();
   private final Map<String, Duration> closedAt = new HashMap<>();  // by req: time of its client's close
   private final Map<String, Duration> deadlines = new HashMap<>();  // by req: end of its client's time budget
-  private int streams, lateStreams, excusedStreams, omittedViolations;
+  private final Map<String, StreamRecord> streamRecords = new HashMap<>();
+  private int streams, lateStreams, excusedStreams, brokenStreams, omittedViolations;
 
   /**
    * Creates a judge without findings.
@@ -90,6 +95,31 @@
     }
   }
 
+  /** Records that a server has begun to write an answer. */
+  void streamBegun(String id, StreamRecord streamRecord) {
+    streamRecords.put(id, streamRecord);
+  }
+
+  /**
+   * Checks an answer that broke off: whether its client waited for too long after the last event, or not long enough.
+   *
+   * @param excused whether a fault of the network or of the gateway, or the client itself, may have changed the time
+   */
+  void checkBrokenStream(Duration at, String id, boolean excused) {
+    StreamRecord streamRecord = streamRecords.get(id);
+    if (streamRecord == null || !streamRecord.endedByGateway()) {
+      return;
+    }
+    Duration waited = at.minus(streamRecord.lastEventAt);
+    brokenStreams++;
+    if (waited.compareTo(MAX_WAIT.plus(excused ? slack.plus(HARNESS_TOLERANCE) : HARNESS_TOLERANCE)) > 0) {
+      addViolation(at, id + ": its client waited " + waited.toMillis() + " ms after the last event of a running server; "
+          + describeRequest.apply(id));
+    } else if (!excused && waited.compareTo(LONGEST_REST.minus(HARNESS_TOLERANCE)) < 0 && !streamRecord.spoilt) {
+      addViolation(at, id + ": a stream was cut off " + waited.toMillis() + " ms after its last event; " + describeRequest.apply(id));
+    }
+  }
+
   /** The result up to now. */
   SoakVerdict verdict(Duration at) {
     Audit.Report report = audit.finish(at);
@@ -104,6 +134,6 @@
     if (omittedViolations > 0) {
       allViolations.add(omittedViolations + " more");
     }
-    return new SoakVerdict(report, List.copyOf(allViolations), streams, lateStreams, excusedStreams);
+    return new SoakVerdict(report, List.copyOf(allViolations), streams, lateStreams, excusedStreams, brokenStreams);
   }
 }
--- a/src/main/java/gapproxy/soak/SoakPlan.java
+++ b/src/main/java/gapproxy/soak/SoakPlan.java
@@ -115,11 +115,13 @@
    * @param waiting share of writes that a server keeps waiting before it begins them
    * @param longestWait longest time that such a write waits
    * @param odd share of attempts that are declined or fail; some failed reads leave state held
+   * @param oddStreams share of answers in whose midst the server does one of the {@link StreamFault}s; some of those that it doesn't end
+   *     leave the state held
    */
   public record Peers(boolean releaseSparesWrites, boolean releaseSparesReads, boolean keepsSpared, Duration closeSeenWithin,
-      double waiting, Duration longestWait, double odd) {
+      double waiting, Duration longestWait, double odd, double oddStreams) {
     private static final Duration[] CLOSE_DETECTION_DELAYS = {Duration.ZERO, Duration.ofMillis(200), Duration.ofSeconds(1)};
-    private static final double[] WAITING_SHARES = {0.06, 0.2}, ODD_SHARES = {0, 0.06};
+    private static final double[] WAITING_SHARES = {0.06, 0.2}, ODD_SHARES = {0, 0.06}, ODD_STREAM_SHARES = {0, 0.05, 0.15};
     private static final int[] LONGEST_WAITS_MS = {1500, 4000};
 
     /** Draws the behaviour of the model servers from the seed. */
@@ -128,7 +130,8 @@
       return new Peers(random.nextInt(4) > 0, random.nextBoolean(), random.nextInt(4) > 0,
           CLOSE_DETECTION_DELAYS[random.nextInt(CLOSE_DETECTION_DELAYS.length)],
           WAITING_SHARES[random.nextInt(WAITING_SHARES.length)],
-          Duration.ofMillis(LONGEST_WAITS_MS[random.nextInt(LONGEST_WAITS_MS.length)]), ODD_SHARES[random.nextInt(ODD_SHARES.length)]);
+          Duration.ofMillis(LONGEST_WAITS_MS[random.nextInt(LONGEST_WAITS_MS.length)]), ODD_SHARES[random.nextInt(ODD_SHARES.length)],
+          ODD_STREAM_SHARES[random.nextInt(ODD_STREAM_SHARES.length)]);
     }
   }
 
--- a/src/main/java/gapproxy/soak/SoakVerdict.java
+++ b/src/main/java/gapproxy/soak/SoakVerdict.java
@@ -11,5 +11,7 @@
  * @param streams number of complete streams
  * @param lateStreams those of them with a late event
  * @param excusedStreams those of them with a late event while a fault delayed their bytes or their client paused reading
+ * @param brokenStreams streams that gateways broke off, as far as their clients' wait was judged
  */
-public record SoakVerdict(Audit.Report report, List<String> violations, int streams, int lateStreams, int excusedStreams) {}
+public record SoakVerdict(Audit.Report report, List<String> violations, int streams, int lateStreams, int excusedStreams,
+    int brokenStreams) {}
--- a/src/test/java/gapproxy/soak/SilentStreamPlay.java
+++ b/src/test/java/gapproxy/soak/SilentStreamPlay.java
@@ -204,6 +204,20 @@
     }
   }
 
+  /** Something that is done to the process. */
+  interface Action {
+    void run() throws IOException, InterruptedException;
+  }
+
+  /** Does something to the process after a time, beside the play that is started next. */
+  void after(Duration delay, Action action) {
+    threads.submit(() -> {
+      Thread.sleep(delay.toMillis());
+      action.run();
+      return null;
+    });
+  }
+
   /** Holds the process up once. */
   void holdUp() throws IOException, InterruptedException {
     gateway.signal("STOP");
--- a/src/test/java/gapproxy/soak/SilentStreamTest.java
+++ b/src/test/java/gapproxy/soak/SilentStreamTest.java
@@ -127,17 +127,33 @@
   @Execution(ExecutionMode.CONCURRENT)
   void silentStreamEndsInTimeAndOneThatGoesOnIsServed(long lateMs, HoldUps holdUps) throws Exception {
     List<Script> scripts = Stream.of(silent(), spoilt(), goingOn()).flatMap(List::stream).toList();
-    List<String> spoilt = spoilt().stream().map(Script::name).toList();
-    List<String> goingOn = goingOn().stream().map(Script::name).toList();
     try (SilentStreamPlay play = new SilentStreamPlay(dir, Duration.ofMillis(lateMs))) {
       List<Outcome> outcomes = play.play(scripts, COPIES, holdUps, lateMs);
-      List<Outcome> ended = outcomes.stream().filter(o -> !goingOn.contains(o.script())).toList();
-      assertEquals("", notWhole(outcomes.stream().filter(o -> goingOn.contains(o.script())).toList()), "cut off");
-      assertEquals("", tooEarly(ended.stream().filter(o -> !spoilt.contains(o.script())).toList()), "ended too early");
-      assertEquals("", tooLate(ended), "ended too late");
+      assertBothSides(outcomes);
     }
   }
 
+  /** The same while the gateway stops, which lets its streams end. */
+  @Test
+  @Execution(ExecutionMode.CONCURRENT)
+  void bothSidesAreKeptWhileTheGatewayStops() throws Exception {
+    List<Script> scripts = Stream.of(silent(), spoilt(), goingOn()).flatMap(List::stream).toList();
+    try (SilentStreamPlay play = new SilentStreamPlay(dir, Duration.ZERO)) {
+      play.after(Duration.ofMillis(1000), () -> play.gateway().signal("TERM"));
+      assertBothSides(play.play(scripts, 1, HoldUps.NONE, 1));
+      assertEquals(0, play.gateway().awaitExit(LATEST_END.toMillis()));
+    }
+  }
+
+  private static void assertBothSides(List<Outcome> outcomes) {
+    List<String> spoilt = spoilt().stream().map(Script::name).toList();
+    List<String> goingOn = goingOn().stream().map(Script::name).toList();
+    List<Outcome> ended = outcomes.stream().filter(o -> !goingOn.contains(o.script())).toList();
+    assertEquals("", notWhole(outcomes.stream().filter(o -> goingOn.contains(o.script())).toList()), "cut off");
+    assertEquals("", tooEarly(ended.stream().filter(o -> !spoilt.contains(o.script())).toList()), "ended too early");
+    assertEquals("", tooLate(ended), "ended too late");
+  }
+
   /** Guards against streams that fall silent together and delay each other's end. */
   @Test
   @Execution(ExecutionMode.CONCURRENT)
--- a/src/test/java/gapproxy/soak/SoakTest.java
+++ b/src/test/java/gapproxy/soak/SoakTest.java
@@ -86,7 +86,7 @@
   void whatAReleaseLeftForAnAttemptIsReleasedWhenThatAttemptIsOver() throws Exception {
     SoakPlan.Settings settings = new SoakPlan.Settings(Duration.ofMillis(500), Duration.ofMillis(600), true, true, Duration.ofSeconds(15),
         Duration.ofSeconds(1));
-    SoakPlan.Peers peers = new SoakPlan.Peers(true, true, true, Duration.ofSeconds(1), 0.3, Duration.ofSeconds(3), 0.03);
+    SoakPlan.Peers peers = new SoakPlan.Peers(true, true, true, Duration.ofSeconds(1), 0.3, Duration.ofSeconds(3), 0.03, 0);
     Soak.Result result = run(new SoakPlan(3, 4, 6, 6, Duration.ofSeconds(9), settings, peers, List.of(
         trouble(Kind.ANSWERS_SILENT, 2500, 1, 0.99), trouble(Kind.SERVERS_HANG, 4500, 2000, 0.5),
         trouble(Kind.DECODE_SERVERS_SILENT, 6500, 1500, 0.6))), Set.of());
@@ -112,6 +112,49 @@
     assertTrue(result.passed(), result.toString());
   }
 
+  private static SoakPlan oddStreamPlan(Trouble... troubles) {
+    SoakPlan.Peers peers = new SoakPlan.Peers(true, true, true, Duration.ofMillis(200), 0.06, Duration.ofMillis(1500), 0, 0.5);
+    return new SoakPlan(4, 4, 6, 6, Duration.ofSeconds(9), SETTINGS, peers, List.of(troubles));
+  }
+
+  /** Clients waited for longer than 5 s after the last event of a server that fell silent, and state was held after the cut. */
+  @Test
+  @Execution(ExecutionMode.CONCURRENT)
+  void nothingIsFoundWhileServersFallSilentInTheMidstOfAnswers() throws Exception {
+    Soak.Result result = run(oddStreamPlan(trouble(Kind.GATEWAY_HELD_UP, 5000, 3000, 0.9), trouble(Kind.CLIENTS_LEAVE, 2000, 4000, 0.2),
+        trouble(Kind.SERVERS_CONNECT_LATE, 1500, 1500, 0.5)),
+        Set.of());
+    assertEquals(List.of(), result.violations(), result.toString());
+    assertTrue(result.passed(), result.toString());
+    assertTrue(result.verdict().brokenStreams() > 0, "no answer was judged: " + result);
+  }
+
+  /** The fault of report 408915: the time runs from the last bytes of any kind, and 0.1 s is left. */
+  @Test
+  @Execution(ExecutionMode.CONCURRENT)
+  void plantedCountFromLastBytesIsFound() throws Exception {
+    Path classes = SourceMutation.compile(dir, List.of(
+        new SourceMutation("gateway/StreamActivity.java", "    switch (content) {", "    eventReceived(arrival);\n    if (lastPartAt == null) {\n"
+            + "      return;\n    }\n    switch (content) {"),
+        new SourceMutation("gateway/StreamSilencePolicy.java", "RESERVE = Duration.ofMillis(170)", "RESERVE = Duration.ofMillis(100)")));
+    try (Soak soak = new Soak(oddStreamPlan(), dir, "", Set.of())) {
+      soak.overrideGatewayClasses(classes);
+      assertFound(soak.run(), List.of(), List.of("after the last event of a running server"));
+    }
+  }
+
+  /** Nothing is released when an answer breaks off after its first token. */
+  @Test
+  @Execution(ExecutionMode.CONCURRENT)
+  void plantedTrustInFirstTokenIsFound() throws Exception {
+    Path classes = SourceMutation.compile(dir, List.of(new SourceMutation("gateway/HeldResources.java",
+        "if (neverReachedServer || attempt.outcome == Outcome.DONE) {", "if (neverReachedServer || attempt.answerBegun) {")));
+    try (Soak soak = new Soak(oddStreamPlan(), dir, "", Set.of())) {
+      soak.overrideGatewayClasses(classes);
+      assertFound(soak.run(), List.of(5), List.of());
+    }
+  }
+
   @Test
   @Execution(ExecutionMode.CONCURRENT)
   void plantedFaultsAreFound() throws Exception {
