--- a/src/main/java/gapproxy/http/ServerSentEventParser.java
+++ b/src/main/java/gapproxy/http/ServerSentEventParser.java
@@ -11,8 +11,9 @@
   private final int maxEventBytes;
   private final Consumer<String> onEvent;
   private boolean lastWasCarriageReturn;
-  // Whether the current call of feed has completed an event.
-  private boolean eventCompleted;
+  // Whether the current call of feed has completed an event, and whether it has brought bytes of lines that are no comments.
+  private boolean eventCompleted, eventBytesReceived;
+  private byte firstLineByte;
 
   /**
    * @param maxEventBytes maximum length of the data of one event in bytes; a stream that exceeds it is treated as invalid
@@ -31,6 +32,7 @@
    */
   public StreamContent feed(byte[] bytes) {
     eventCompleted = false;
+    eventBytesReceived = false;
     int from = 0;
     for (int i = 0; i < bytes.length; i++) {
       byte b = bytes[i];
@@ -44,16 +46,18 @@
         endLine();
       } else {
         lastWasCarriageReturn = false;
+        firstLineByte = line.size() == 0 && i == from ? b : firstLineByte;
       }
     }
     line.write(bytes, from, bytes.length - from);
+    eventBytesReceived |= from < bytes.length && firstLineByte != ':';
     if (line.size() + data.length() > maxEventBytes) {
       throw new IllegalStateException("an event of more than " + maxEventBytes + " bytes");
     }
     if (eventCompleted) {
       return StreamContent.EVENT;
     }
-    return pendingBytes() > 0 ? StreamContent.EVENT_PART : StreamContent.COMMENTS;
+    return eventBytesReceived ? StreamContent.EVENT_PART : StreamContent.COMMENTS;
   }
 
   /** Bytes of the current incomplete event. */
@@ -65,6 +69,7 @@
   private void endLine() {
     String text = line.toString(StandardCharsets.UTF_8);
     line.reset();
+    eventBytesReceived |= !text.isEmpty() && !text.startsWith(":");
     if (text.isEmpty()) {
       if (data.length() > 0) {
         String event = data.substring(0, data.length() - 1);
--- a/src/test/java/gapproxy/platform/NodeSignalsTest.java
+++ b/src/test/java/gapproxy/platform/NodeSignalsTest.java
@@ -106,7 +106,8 @@
       signal(node, "HUP");
       new CountDownLatch(1).await(300, TimeUnit.MILLISECONDS);
       Files.writeString(file, config[0]);
-      assertTrue(awaitWatchCalls(loop, site[0], before + 1) > before, "the watch did not move to the new discovery address");
+      assertTrue(awaitWatchCalls(loop, site[0], before + 1) > before,
+          () -> "the watch did not move to the new discovery address after " + before + " calls: " + outputSoFar(node));
     } finally {
       node.destroyForcibly();
       loop.runAndWait(site[0]::close);
@@ -126,6 +127,14 @@
     return received[0];
   }
 
+  private static String outputSoFar(Process process) {
+    try {
+      return new String(process.getInputStream().readNBytes(process.getInputStream().available()), StandardCharsets.UTF_8);
+    } catch (IOException e) {
+      return e.toString();
+    }
+  }
+
   /** Connects to the port, and retries until it is open. */
   private static Socket connectWhenOpen(int port) throws Exception {
     for (int i = 0; i < 4000; i++) {
