Don't take the time that a request is written for its server's wait

Cause: an attempt that times out while its request is being written counted as a wait of that long at its server, and the decisions refuse usual requests by their role's waits. It ends as NOT_SENT now, which says nothing of waits; for repeatable requests only, as the last byte may just be leaving, and what may be held is released as before. SlowReaderTest's new test was red before.

--- a/src/main/java/gapproxy/gateway/HeldResources.java
+++ b/src/main/java/gapproxy/gateway/HeldResources.java
@@ -123,7 +123,8 @@
    */
   void ended(Req.Attempt attempt) {
     Req req = attempt.req;
-    boolean neverReachedServer = attempt.outcome == Outcome.NOT_SENT || attempt.outcome == Outcome.NO_CONNECTION;
+    boolean neverReachedServer = attempt.outcome == Outcome.NO_CONNECTION
+        || attempt.outcome == Outcome.NOT_SENT && !attempt.timedOutInWriting;
     if (neverReachedServer || attempt.outcome == Outcome.DONE) {
       return;
     }
--- a/src/main/java/gapproxy/gateway/Req.java
+++ b/src/main/java/gapproxy/gateway/Req.java
@@ -41,6 +41,8 @@
     boolean serverResponsive;
     /** Whether the attempt was in flight during a release, which may have spared the resources that it waits for. */
     boolean mayRetainAfterRelease;
+    /** Whether its time was over while its request was being written. */
+    boolean timedOutInWriting;
     /** Whether its first token has arrived. */
     boolean answerBegun;
     /** What was received of its answer; null until the answer has begun. */
@@ -94,6 +96,11 @@
       return outcome == null;
     }
 
+    /** Whether it has a connection, and the last byte of its request was not handed to the operating system yet. */
+    boolean isBeingWritten() {
+      return sentAt == null && call != null && call.connection() != null;
+    }
+
     boolean isRead() {
       return path == Path.READ;
     }
--- a/src/main/java/gapproxy/platform/PlatformNode.java
+++ b/src/main/java/gapproxy/platform/PlatformNode.java
@@ -12,6 +12,7 @@
 import gapproxy.memory.MemoryBudget;
 import gapproxy.runtime.LiveLoop;
 import gapproxy.runtime.LiveNet;
+import gapproxy.trace.Metrics;
 import java.io.IOException;
 import java.net.BindException;
 import java.net.InetSocketAddress;
@@ -193,6 +194,10 @@
     return loop;
   }
 
+  Metrics metrics() {
+    return gateway.metrics();
+  }
+
   /** The address at which the gateway listens for clients. */
   public InetSocketAddress address() {
     return gateway.address();
--- a/src/test/java/gapproxy/platform/SlowReaderTest.java
+++ b/src/test/java/gapproxy/platform/SlowReaderTest.java
@@ -1,6 +1,7 @@
 package gapproxy.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gapproxy.daemon.WarmUpRun;
@@ -20,6 +21,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -129,15 +131,7 @@
   @CsvSource({"40000,1000000,65536,1000", "40000,1000000,200,1000", "40000,1000000,65536,300", "40000,1000000,200,300", "1000,2000,65536,700",
       "1000,2000,200,700", "400000,200000,200,1000", "400000,200000,65536,1000", "4000000,262000,65536,500"})
   void finalAnswerComesByTheDeadline(int bytesPerSecond, int stopAfterBytes, int promptTokens, int deadlineMs) throws Exception {
-    StringBuilder hosts = new StringBuilder();
-    for (int i = 0; i < 4; i++) {
-      int port = listen(SERVER_BUFFER_BYTES, socket -> readSlowly(socket, bytesPerSecond, stopAfterBytes));
-      hosts.append(i == 0 ? "" : ",").append(host("s-" + i, i < 2 ? "reading" : "writing", port));
-    }
-    String config = """
-        {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"2a","limits":{"cores":1.0,"memory_mb":192,"sockets":512},
-         "settings":%s}""".formatted(discovery(hosts.toString()), PlatformSite.SETTINGS);
-    PlatformNode node = PlatformNode.start(config.getBytes(StandardCharsets.UTF_8));
+    PlatformNode node = startNode(bytesPerSecond, stopAfterBytes);
     try {
       TimeUnit.MILLISECONDS.sleep(300);
       List<Future<List<String>>> clients = new ArrayList<>();
@@ -151,11 +145,43 @@
       }
       assertEquals(List.of(), late, "answers after " + deadlineMs + " ms");
     } finally {
-      node.close();
-      for (AutoCloseable resource : resources) {
-        resource.close();
-      }
-      threads.shutdownNow();
+      close(node);
+    }
+  }
+
+  /** Usual requests were rejected, as the time that large requests took to be written counted as the wait at their servers. */
+  @Test
+  void requestThatIsBeingWrittenShowsNoWaitOfItsServer() throws Exception {
+    PlatformNode node = startNode(40_000, 1_000_000);
+    try {
+      TimeUnit.MILLISECONDS.sleep(300);
+      ask(node, 0, 65_536, 1000);
+      String metrics = node.metrics().toPrometheusText();
+      assertFalse(metrics.contains("outcome=\"timed_out\""), metrics);
+      assertTrue(metrics.contains("outcome=\"not_sent\""), metrics);
+    } finally {
+      close(node);
+    }
+  }
+
+  /** Starts a gateway with four model servers that read at a pace. */
+  private PlatformNode startNode(int bytesPerSecond, int stopAfterBytes) throws Exception {
+    StringBuilder hosts = new StringBuilder();
+    for (int i = 0; i < 4; i++) {
+      int port = listen(SERVER_BUFFER_BYTES, socket -> readSlowly(socket, bytesPerSecond, stopAfterBytes));
+      hosts.append(i == 0 ? "" : ",").append(host("s-" + i, i < 2 ? "reading" : "writing", port));
+    }
+    String config = """
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"2a","limits":{"cores":1.0,"memory_mb":192,"sockets":512},
+         "settings":%s}""".formatted(discovery(hosts.toString()), PlatformSite.SETTINGS);
+    return PlatformNode.start(config.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private void close(PlatformNode node) throws Exception {
+    node.close();
+    for (AutoCloseable resource : resources) {
+      resource.close();
     }
+    threads.shutdownNow();
   }
 }
--- a/src/test/java/gapproxy/sim/Mutants.java
+++ b/src/test/java/gapproxy/sim/Mutants.java
@@ -43,7 +43,7 @@
           "    pendingEvents.add(new Event.Ended(req.number, attempt.number, outcome, stateGone ? 1 : note, req.answered,\n"
               + "        loop.now().minus(attempt.startedAt), attempt.loadReport));\n", ""),
       new Mutant("a cancel does not close the call", GATEWAY,
-          "    } else if (attempt.call != null && (outcome == Outcome.CANCELLED || outcome == Outcome.NO_CONNECTION)) {",
+          "    } else if (attempt.call != null && (outcome == Outcome.CANCELLED || outcome == Outcome.NO_CONNECTION || outcome == Outcome.NOT_SENT)) {",
           "    } else if (attempt.call != null && outcome == Outcome.TIMED_OUT) {"),
       new Mutant("a drop frees nothing", HELD, "      releases.begin(ledger);\n", ""),
       new Mutant("a state is freed two seconds late", "gateway/Releases.java", "      new ReleaseRound(ledger).begin();",
