--- a/src/main/java/gapproxy/gateway/HeldResources.java
+++ b/src/main/java/gapproxy/gateway/HeldResources.java
@@ -136,7 +136,7 @@
     HeldResourceLedger heldLedger = req.ledgersById.get(attempt.serverRequestId);
     boolean mayRetain = attempt.mayRetainAfterRelease
         || req.clientRequestId != null && heldLedger != null && (heldLedger.isOpen() || attempt.answerBegun);
-    // A server that wrote an answer up to its break, or up to the client's close, has nothing left that could act later.
+    // After a break, or the client's close, a single release is made: each client that leaves would cost several otherwise.
     boolean over = answered || attempt.answerBegun && attempt.outcome != Outcome.TIMED_OUT;
     Duration mayActUntil = over ? loop.now() : loop.now().plus(maxCloseDelay);
     if (mayLeaveState || mayRetain) {
