Note where a write is completed that a request was written

That says it never ran, so one that must not run twice might have been sent again. Cause: the end of the write was noted by a task posted on the loop's own thread, the close by one of the reading thread, and the loop takes these in turns. It is noted at once now. HttpClientRaceTest's new test was red before.

--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -416,8 +416,9 @@
       transportConnection.write(request, new EmptyCompletionHandler<WriteResult<Object, Object>>() {
         @Override
         public void completed(WriteResult<Object, Object> r) {
+          // Set at once: the close of the connection may be handled before a task that is posted here.
+          conn.requestWritten = true;
           loop.execute(() -> {
-            conn.requestWritten = true;
             if (!finished) {
               listener.sent();
             }
@@ -532,7 +533,7 @@
     volatile boolean responseExpected;                        // a response is expected or incomplete
     Call call;
     Loop.Timer poolTimer;
-    boolean requestWritten;                                   // whether the call's request was written completely
+    volatile boolean requestWritten;                          // the call's request was written completely
     boolean countedOpen, closed, responseStarted;
     int startedResponses;
     Duration idleSince;                                       // when the connection entered the pool; null if it never did
--- a/src/test/java/gapproxy/http/HttpClientRaceTest.java
+++ b/src/test/java/gapproxy/http/HttpClientRaceTest.java
@@ -5,6 +5,7 @@
 
 import gapproxy.runtime.LiveLoop;
 import gapproxy.runtime.LiveNet;
+import gapproxy.runtime.Loop;
 import gapproxy.runtime.Net;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -13,6 +14,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -111,6 +113,53 @@
     }
   }
 
+  /** A loop that runs what is posted on its own thread later than what other threads post. */
+  private record OwnTasksLateLoop(LiveLoop loop, Thread thread) implements Loop {
+    private static final Duration DELAY = Duration.ofMillis(200);
+
+    @Override
+    public Duration now() {
+      return loop.now();
+    }
+
+    @Override
+    public Instant wallClock() {
+      return loop.wallClock();
+    }
+
+    @Override
+    public void execute(Runnable task) {
+      if (Thread.currentThread() == thread) {
+        loop.after(DELAY, task);
+      } else {
+        loop.execute(task);
+      }
+    }
+
+    @Override
+    public Timer after(Duration delay, Runnable task) {
+      return loop.after(delay, task);
+    }
+
+    @Override
+    public void whenIdle(Runnable task) {
+      loop.whenIdle(task);
+    }
+  }
+
+  /** A request that had been written was told as never sent if its connection ended at once, so that it might have run twice. */
+  @Test
+  void requestThatWasWrittenMayHaveRunThoughItsConnectionEndsAtOnce() throws Exception {
+    Thread[] thread = new Thread[1];
+    loop.runAndWait(() -> thread[0] = Thread.currentThread());
+    HttpClient client = new HttpClient(new OwnTasksLateLoop(loop, thread[0]), net, Duration.ofSeconds(20));
+    CompletableFuture<Result> result = ask(client, () -> true);
+    try (Socket socket = accept()) {
+      readRequest(socket);
+    }
+    assertEquals(HttpClient.Failure.BROKEN, result.get(5, TimeUnit.SECONDS).failure());
+  }
+
   /** Bytes received on an idle connection close it, so that they are not taken for the next response. */
   @Test
   void bytesOnIdleConnectionCloseIt() throws Exception {
