Log and count why an answer that had begun broke off

Cause: of an answer that broke off only one text stood in the request's line, without its server, connection, times or what may be held, and nothing counted it by cause. Change: the line 'answer ended, as it is broken' and gapproxy_streams_broken_total, with typed causes; the client of HTTP tells what is wrong with a response that is not valid. No behaviour changes.

--- a/src/main/java/gapproxy/gateway/AttemptLog.java
+++ b/src/main/java/gapproxy/gateway/AttemptLog.java
@@ -92,6 +92,18 @@
         .addKeyValue("held", describeHeld(attempt.req)).log("answer ended, as its server is silent");
   }
 
+  /** Records that an answer is ended because it broke off or because its server wrote what is no valid answer. */
+  void streamBroken(Req.Attempt attempt, StreamBreak cause, String reason) {
+    event(attempt.req, attempt.server, "stream is broken", cause);
+    HttpClient.ConnectionState connection = attempt.call == null ? null : attempt.call.connection();
+    LOG.atWarn().addKeyValue("request_id", Gateway.requestId(attempt.req)).addKeyValue("attempt", attempt.number)
+        .addKeyValue("path", attempt.path).addKeyValue("server", attempt.server.address()).addKeyValue("cause", cause)
+        .addKeyValue("connection", connection == null ? null : connection.number())
+        .addKeyValue("last_event_ms", millisSince(attempt.activity.lastEvent().readAt()))
+        .addKeyValue("last_byte_ms", millisSince(attempt.activity.lastReadAt())).addKeyValue("held", describeHeld(attempt.req))
+        .addKeyValue("why", reason).log("answer ended, as it is broken");
+  }
+
   private void event(Req req, Fleet.Server server, String event, Object cause) {
     ring.add(new EventRing.Entry(loop.now(), Gateway.requestId(req), event, server == null ? null : server.address(), cause));
   }
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -777,6 +777,9 @@
     }
     Req req = attempt.req;
     if (attempt.answerBegun) {
+      StreamBreak cause = StreamBreak.of(failure, attempt.call);
+      metrics.brokenStream(cause);
+      attemptLog.streamBroken(attempt, cause, failure.reason());
       attempt.call.cancel();
       abortStream(attempt, outcome(failure), failure.reason());
     } else if (failure.kind() == EngineFailure.Kind.CLIENT_ERROR && !req.answered) {
--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -26,6 +26,7 @@
 import org.glassfish.grizzly.filterchain.Filter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpPacket;
@@ -50,6 +51,14 @@
     NOT_WANTED
   }
 
+  /** What is wrong with a response that is not valid. */
+  public enum ResponseFault {
+    /** It is not HTTP/1.1. */
+    MALFORMED,
+    /** It is longer than the listener accepts, or states that it is. */
+    OVERSIZED
+  }
+
   /** Receives the events of a call, on the loop. Nothing is called after {@link #end}, {@link #failed} or {@link Call#cancel}. */
   public interface Listener {
     /**
@@ -328,6 +337,7 @@
     private boolean finished;
     private Duration lastReadAt;
     private Duration responseTime = Duration.ZERO;
+    private ResponseFault responseFault;
 
     Call(InetSocketAddress address, String method, String path, Supplier<Map<String, String>> headers, byte[] body,
         Listener listener) {
@@ -473,6 +483,11 @@
       return responseTime;
     }
 
+    /** What is wrong with the response; null if nothing was found wrong with what has come of it. */
+    public ResponseFault responseFault() {
+      return responseFault;
+    }
+
     /** When the response data that was passed on last had been read from the socket, on the clock of the loop; null if there was none. */
     public Duration lastReadAt() {
       return lastReadAt;
@@ -498,6 +513,11 @@
       }
     }
 
+    private void failResponse(ResponseFault fault, String why) {
+      responseFault = fault;
+      fail(Failure.BROKEN, why);
+    }
+
     private void finish() {
       finished = true;
       headers = null;
@@ -750,7 +770,7 @@
       content.tryDispose();
       boolean first = conn.response != response;
       boolean last = part.isLast();
-      boolean broken = HttpContent.isBroken(part);
+      String whyBroken = whyBroken(part);
       conn.response = last ? null : response;
       conn.responseExpected = !last;
       Map<String, String> headers = first ? HttpRequest.headers(response.getHeaders()) : null;
@@ -761,7 +781,7 @@
       conn.partQueued(queuedBytes);
       loop.execute(() -> {
         try {
-          handlePart(conn, new ResponsePart(first, status, headers, bytes, readAt, broken, last, keepAlive));
+          handlePart(conn, new ResponsePart(first, status, headers, bytes, readAt, whyBroken, last, keepAlive));
         } finally {
           conn.partHandled(queuedBytes);
         }
@@ -783,8 +803,9 @@
    * A part of a response; {@code headers} is null except in the first part.
    *
    * @param readAt when it was read from the socket, on the clock of the loop
+   * @param whyBroken what is wrong with it, or null
    */
-  private record ResponsePart(boolean isFirst, int status, Map<String, String> headers, byte[] bytes, Duration readAt, boolean isBroken,
+  private record ResponsePart(boolean isFirst, int status, Map<String, String> headers, byte[] bytes, Duration readAt, String whyBroken,
       boolean isLast, boolean keepAlive) {}
 
   /** Handles a response part on the loop. */
@@ -796,8 +817,8 @@
       // Unsolicited response: the connection cannot be trusted any more.
       conn.connection.closeSilently();
       return;
-    } else if (part.isBroken) {
-      call.fail(Failure.BROKEN, "the response is not valid HTTP/1.1");
+    } else if (part.whyBroken != null) {
+      call.failResponse(ResponseFault.MALFORMED, "the response is not valid HTTP/1.1: " + part.whyBroken);
       return;
     }
     conn.responseStarted = true;
@@ -810,7 +831,7 @@
       call.receivedBytes += part.bytes.length;
       call.lastReadAt = part.readAt;
       if (call.receivedBytes > call.listener.maxBodyBytes()) {
-        call.fail(Failure.BROKEN, "the response is longer than " + call.listener.maxBodyBytes() + " bytes");
+        call.failResponse(ResponseFault.OVERSIZED, "the response is longer than " + call.listener.maxBodyBytes() + " bytes");
         return;
       }
       call.listener.data(part.bytes);
@@ -823,6 +844,13 @@
     }
   }
 
+  private static String whyBroken(HttpContent part) {
+    if (!HttpContent.isBroken(part)) {
+      return null;
+    }
+    return part instanceof HttpBrokenContent broken && broken.getException() != null ? broken.getException().getMessage() : "no reason";
+  }
+
   private static boolean isKeepAlive(HttpResponsePacket response) {
     return !"close".equalsIgnoreCase(response.getHeader("connection"))
         && response.getProtocol() == org.glassfish.grizzly.http.Protocol.HTTP_1_1
--- a/src/main/java/gapproxy/trace/Metrics.java
+++ b/src/main/java/gapproxy/trace/Metrics.java
@@ -28,6 +28,8 @@
       "Attempts that were ended because the server sent nothing.", "path", "evidence");
   private final Counter silentStreams = counter("gapproxy_streams_silent_total",
       "Answers that were ended because the server fell silent.", "cause");
+  private final Counter brokenStreams = counter("gapproxy_streams_broken_total",
+      "Answers that were ended because they broke off or were not valid.", "cause");
   private final Counter lateTicks = counter("gapproxy_held_up_total", "Ticks that ran more than 0.2 s late.");
   private final Counter lists = counter("gapproxy_lists_total", "Lists of model servers that were applied or not available.", "form");
   private final Counter faults = counter("gapproxy_faults_total", "Internal faults after which the gateway continued.", "kind");
@@ -116,6 +118,15 @@
     silentStreams.labelValues(label(cause)).inc();
   }
 
+  /**
+   * Counts an answer that had begun and was ended because it broke off or was not valid.
+   *
+   * @param cause what was wrong with it
+   */
+  public void brokenStream(Enum<?> cause) {
+    brokenStreams.labelValues(label(cause)).inc();
+  }
+
   /** Counts a timer of the decision logic that ran late because the process was stalled. */
   public void lateTick() {
     lateTicks.inc();
