End a response by the length that it states, not by the bytes that come

Cause: ChunkedEncoding took any size below 2^60, and what came inside counted as progress. A body that is kept has a limit as a whole and so failed in endlessChunkFails, for another reason than the one in its name; one that is passed on has none. Content-Length was believed in the same way, as were the lists of serve. Change: LengthLimits: a size line or a Content-Length past what a body may hold (256 KiB on the platform, a list of discovery 2 MiB, serve's streams and lists 8 MiB) ends the response as its line is read; requests get 413. MalformedResponsesTest plays each malformed response once kept and once passed on.

--- a/src/main/java/gapproxy/engine/EngineClient.java
+++ b/src/main/java/gapproxy/engine/EngineClient.java
@@ -272,6 +272,11 @@
       }
     }
 
+    @Override
+    public long maxStatedBytes() {
+      return MAX_RESPONSE_BYTES;
+    }
+
     @Override
     public long retainedBytes() {
       // The buffers' capacity may be twice their content.
--- a/src/main/java/gapproxy/http/ChunkedEncoding.java
+++ b/src/main/java/gapproxy/http/ChunkedEncoding.java
@@ -1,7 +1,9 @@
 package gapproxy.http;
 
 import java.io.ByteArrayOutputStream;
+import java.util.function.Function;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.ChunkedTransferEncoding;
 import org.glassfish.grizzly.http.HttpBrokenContentException;
@@ -15,24 +17,31 @@
 
 /**
  * Decodes chunked bodies (RFC 9112, section 7.1) that may be split at any byte. Replaces the decoder of Grizzly, which rejects chunk
- * extensions instead of ignoring them, and accepts chunks that are longer than their size or have no size. Encoding is left to Grizzly.
+ * extensions instead of ignoring them, and accepts chunks that are longer than their size, have no size or state any size. Encoding is left
+ * to Grizzly.
  */
 final class ChunkedEncoding implements TransferEncoding {
   private static final int MAX_SIZE_LINE_BYTES = 1 << 10, MAX_TRAILER_BYTES = 8 << 10;
   private static final String DECODER_ATTRIBUTE = "gapproxy.http.chunks";
 
   private final TransferEncoding encoder;
+  private final Function<Connection<?>, LengthLimits> limits;
 
-  private ChunkedEncoding(TransferEncoding encoder) {
+  private ChunkedEncoding(TransferEncoding encoder, Function<Connection<?>, LengthLimits> limits) {
     this.encoder = encoder;
+    this.limits = limits;
   }
 
-  /** Replaces Grizzly's chunked encoding in a codec by this one, and returns the codec. */
-  static <F extends HttpCodecFilter> F installIn(F codec) {
+  /**
+   * Replaces Grizzly's chunked encoding in a codec by this one, and returns the codec.
+   *
+   * @param limits the limits for the body that is being received on a connection
+   */
+  static <F extends HttpCodecFilter> F installIn(F codec, Function<Connection<?>, LengthLimits> limits) {
     for (TransferEncoding encoding : codec.getTransferEncodings()) {
       if (encoding instanceof ChunkedTransferEncoding) {
         codec.removeTransferEncoding(encoding);
-        codec.addTransferEncoding(new ChunkedEncoding(encoding));
+        codec.addTransferEncoding(new ChunkedEncoding(encoding, limits));
       }
     }
     return codec;
@@ -42,11 +51,16 @@
 
   /** Decoder state of one body. */
   private static final class Decoder {
+    private final LengthLimits limits;
     private State state = State.SIZE;
-    private long chunkBytes;
+    private long chunkBytes, earlierBytes;
     private int lineBytes, trailerBytes;
     private boolean hasDigits;
 
+    Decoder(LengthLimits limits) {
+      this.limits = limits;
+    }
+
     /** Decodes the available bytes, at most up to the end of the body, and returns the chunk data in them. */
     byte[] decode(Buffer in) {
       ByteArrayOutputStream data = new ByteArrayOutputStream(in.remaining());
@@ -69,6 +83,8 @@
         case SIZE, SIZE_WHITESPACE, EXTENSION -> consumeSizeLine(b);
         case SIZE_LF -> {
           require(b == '\n' && hasDigits, "chunk size line is not terminated by CRLF");
+          limits.checkChunk(chunkBytes, earlierBytes);
+          earlierBytes += chunkBytes;
           state = chunkBytes > 0 ? State.DATA : State.TRAILER;
           hasDigits = false;
           lineBytes = 0;
@@ -121,7 +137,7 @@
   public ParsingResult parsePacket(FilterChainContext ctx, HttpHeader header, Buffer in) {
     Decoder decoder = (Decoder) header.getAttributes().getAttribute(DECODER_ATTRIBUTE);
     if (decoder == null) {
-      decoder = new Decoder();
+      decoder = new Decoder(limits.apply(ctx.getConnection()));
       header.getAttributes().setAttribute(DECODER_ATTRIBUTE, decoder);
     }
     byte[] data = decoder.decode(in);
--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -29,6 +29,7 @@
 import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpPacket;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
@@ -81,6 +82,11 @@
       return Long.MAX_VALUE;
     }
 
+    /** Maximum of each length that the response states: its Content-Length, and the sizes of its chunks. One that states more fails. */
+    default long maxStatedBytes() {
+      return maxBodyBytes();
+    }
+
     /** More of the response body was received. */
     void data(byte[] bytes);
 
@@ -352,7 +358,7 @@
     private void connect(Duration timeout) {
       openCount++;
       connectTimer = loop.after(timeout, () -> fail(Failure.NO_CONNECTION, "no connection within " + timeout.toMillis() + " ms"));
-      net.connect(address, () -> List.<Filter>of(new InterimResponseFilter(), ChunkedEncoding.installIn(new ResponseCodec()),
+      net.connect(address, () -> List.<Filter>of(new InterimResponseFilter(), ChunkedEncoding.installIn(new ResponseCodec(), HttpClient::lengthLimits),
           new ResponsePartFilter()), new Net.ConnectListener() {
         @Override
         public void connecting(Runnable cancel) {
@@ -407,6 +413,7 @@
       }
       connection = conn;
       conn.call = this;
+      conn.lengthLimits = new LengthLimits(listener.maxStatedBytes(), listener.maxBodyBytes());
       conn.responseExpected = true;
       conn.requestWritten = false;
       conn.interimPossible = true;
@@ -549,6 +556,8 @@
     final InetSocketAddress address;
     final Connection<?> connection;
     HttpResponsePacket response;                              // the one being received; used on the reading thread
+    volatile LengthLimits lengthLimits = LengthLimits.NONE;   // of the response
+    volatile InvalidPart invalid;                             // set before the codec closes the connection for it; null before that
     volatile boolean interimPossible;                         // interim (1xx) responses may arrive
     volatile boolean responseExpected;                        // a response is expected or incomplete
     Call call;
@@ -671,7 +680,11 @@
         if (call.idleBefore != null && !responseStarted && loop.now().minus(call.startedAt).compareTo(STALE_CONNECTION_WINDOW) <= 0) {
           reduceIdleLimit(call.idleBefore);
         }
-        call.fail(requestWritten ? Failure.BROKEN : Failure.NO_CONNECTION, "the connection ended before the response");
+        if (invalid != null) {
+          call.failResponse(invalid.fault, invalid.why);
+        } else {
+          call.fail(requestWritten ? Failure.BROKEN : Failure.NO_CONNECTION, "the connection ended before the response");
+        }
       }
     }
   }
@@ -745,6 +758,26 @@
       super(MAX_HEAD_BYTES);
     }
 
+    @Override
+    protected void onHttpHeaderError(HttpHeader head, FilterChainContext ctx, Throwable cause) throws IOException {
+      noteInvalid(ctx, cause);
+      super.onHttpHeaderError(head, ctx, cause);
+    }
+
+    @Override
+    protected void onHttpContentError(HttpHeader head, FilterChainContext ctx, Throwable cause) throws IOException {
+      noteInvalid(ctx, cause);
+      super.onHttpContentError(head, ctx, cause);
+    }
+
+    /** Keeps the reason for the call, as the codec ends the connection. */
+    private static void noteInvalid(FilterChainContext ctx, Throwable cause) {
+      ClientConnection conn = CONNECTION.get(ctx.getConnection());
+      if (conn != null) {
+        conn.invalid = InvalidPart.of(cause);
+      }
+    }
+
     @Override
     public NextAction handleRead(FilterChainContext ctx) throws IOException {
       ClientConnection conn = CONNECTION.get(ctx.getConnection());
@@ -770,7 +803,8 @@
       content.tryDispose();
       boolean first = conn.response != response;
       boolean last = part.isLast();
-      String whyBroken = whyBroken(part);
+      InvalidPart invalid = invalidPart(part, first && !response.isChunked() && hasBody(response.getStatus())
+          ? conn.lengthLimits.whyRejected(response.getContentLength()) : null);
       conn.response = last ? null : response;
       conn.responseExpected = !last;
       Map<String, String> headers = first ? HttpRequest.headers(response.getHeaders()) : null;
@@ -781,7 +815,7 @@
       conn.partQueued(queuedBytes);
       loop.execute(() -> {
         try {
-          handlePart(conn, new ResponsePart(first, status, headers, bytes, readAt, whyBroken, last, keepAlive));
+          handlePart(conn, new ResponsePart(first, status, headers, bytes, readAt, invalid, last, keepAlive));
         } finally {
           conn.partHandled(queuedBytes);
         }
@@ -803,9 +837,9 @@
    * A part of a response; {@code headers} is null except in the first part.
    *
    * @param readAt when it was read from the socket, on the clock of the loop
-   * @param whyBroken what is wrong with it, or null
+   * @param invalid what is wrong with it, or null
    */
-  private record ResponsePart(boolean isFirst, int status, Map<String, String> headers, byte[] bytes, Duration readAt, String whyBroken,
+  private record ResponsePart(boolean isFirst, int status, Map<String, String> headers, byte[] bytes, Duration readAt, InvalidPart invalid,
       boolean isLast, boolean keepAlive) {}
 
   /** Handles a response part on the loop. */
@@ -817,8 +851,8 @@
       // Unsolicited response: the connection cannot be trusted any more.
       conn.connection.closeSilently();
       return;
-    } else if (part.whyBroken != null) {
-      call.failResponse(ResponseFault.MALFORMED, "the response is not valid HTTP/1.1: " + part.whyBroken);
+    } else if (part.invalid != null) {
+      call.failResponse(part.invalid.fault, part.invalid.why);
       return;
     }
     conn.responseStarted = true;
@@ -844,11 +878,31 @@
     }
   }
 
-  private static String whyBroken(HttpContent part) {
-    if (!HttpContent.isBroken(part)) {
-      return null;
+  /** What is wrong with a part of a response. */
+  private record InvalidPart(ResponseFault fault, String why) {
+    /** @param failure the exception of the codec; null if it gave none */
+    static InvalidPart of(Throwable failure) {
+      ResponseFault fault = LengthLimits.isCauseOf(failure) ? ResponseFault.OVERSIZED : ResponseFault.MALFORMED;
+      return new InvalidPart(fault, "the response is not valid HTTP/1.1" + (failure == null ? "" : ": " + failure.getMessage()));
+    }
+  }
+
+  /** @param whyOversized what is wrong with the length that the response's head states, or null */
+  private static InvalidPart invalidPart(HttpContent part, String whyOversized) {
+    if (HttpContent.isBroken(part)) {
+      return InvalidPart.of(part instanceof HttpBrokenContent broken ? broken.getException() : null);
     }
-    return part instanceof HttpBrokenContent broken && broken.getException() != null ? broken.getException().getMessage() : "no reason";
+    return whyOversized == null ? null : new InvalidPart(ResponseFault.OVERSIZED, whyOversized);
+  }
+
+  /** Whether a response of a status has a body (RFC 9112, section 6.3); otherwise its Content-Length tells nothing about it. */
+  private static boolean hasBody(int status) {
+    return status != 204 && status != 304;
+  }
+
+  private static LengthLimits lengthLimits(Connection<?> connection) {
+    ClientConnection conn = CONNECTION.get(connection);
+    return conn == null ? LengthLimits.NONE : conn.lengthLimits;
   }
 
   private static boolean isKeepAlive(HttpResponsePacket response) {
--- a/src/main/java/gapproxy/http/HttpServer.java
+++ b/src/main/java/gapproxy/http/HttpServer.java
@@ -88,8 +88,9 @@
     HttpServer server = new HttpServer(loop, net, limits, budget, handler);
     IntFunction<byte[]> errors = status -> handler.errorBody(status, status == 413 || status == 431
         ? "the request's head is too long" : "the request is not valid HTTP/1.1");
-    Supplier<List<Filter>> filters = () -> List.of(ChunkedEncoding.installIn(new StrictRequestCodec(limits, errors)),
-        server.new RequestPartFilter());
+    LengthLimits lengthLimits = new LengthLimits(limits.maxBodyBytes(), limits.maxBodyBytes());
+    Supplier<List<Filter>> filters = () -> List.of(
+        ChunkedEncoding.installIn(new StrictRequestCodec(limits, errors), connection -> lengthLimits), server.new RequestPartFilter());
     synchronized (server) {
       server.port = net.listen(address, filters);
     }
--- a/src/main/java/gapproxy/http/ServerConnection.java
+++ b/src/main/java/gapproxy/http/ServerConnection.java
@@ -13,6 +13,7 @@
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.Protocol;
@@ -141,7 +142,9 @@
       return;
     }
     Buffer content = part.getContent();
-    if (HttpContent.isBroken(part)) {
+    if (part instanceof HttpBrokenContent broken && LengthLimits.isCauseOf(broken.getException())) {
+      rejectUnreadable(413, broken.getException().getMessage());
+    } else if (HttpContent.isBroken(part)) {
       rejectUnreadable(400, "the body is broken off or badly chunked");
     } else if (incoming.receivedBytes() + content.remaining() > limits.maxBodyBytes()
         || requestPacket.getContentLength() > limits.maxBodyBytes()) {
@@ -415,12 +418,20 @@
   /** Answers with an error and ends the connection. */
   private void endWithError(int status, String message) {
     if (!closed && !ended) {
-      respond(status + " " + (status == 408 ? "Request Timeout" : "Bad Request"), "Connection: close\r\n",
+      respond(status + " " + reasonPhrase(status), "Connection: close\r\n",
           server.handler().errorBody(status, message));
       end();
     }
   }
 
+  private static String reasonPhrase(int status) {
+    return switch (status) {
+      case 408 -> "Request Timeout";
+      case 413 -> "Content Too Large";
+      default -> "Bad Request";
+    };
+  }
+
   /** Writes a response without the codec, which would need a parsed request. */
   private void respond(String status, String headers, byte[] body) {
     String head = "HTTP/1.1 " + status + "\r\nDate: " + HttpDate.format(loop.wallClock()) + "\r\nContent-Type: application/json\r\n"
--- a/src/main/java/gapproxy/list/LongPollListSource.java
+++ b/src/main/java/gapproxy/list/LongPollListSource.java
@@ -16,6 +16,7 @@
  */
 public final class LongPollListSource implements ListSource {
   private static final Duration UNCHANGED_DELAY = Duration.ofMillis(50);
+  private static final int MAX_LIST_BYTES = 8 << 20;
   private final InetSocketAddress address;
   private final String path;
   private final Duration maxWait;
@@ -66,6 +67,11 @@
             status = s;
           }
 
+          @Override
+          public long maxBodyBytes() {
+            return MAX_LIST_BYTES;
+          }
+
           @Override
           public void data(byte[] bytes) {
             body.writeBytes(bytes);
--- a/src/main/java/gapproxy/platform/JsonObjectSplitter.java
+++ b/src/main/java/gapproxy/platform/JsonObjectSplitter.java
@@ -9,6 +9,8 @@
 final class JsonObjectSplitter {
   /** Large enough for a list of 3,200 servers, the platform's maximum, at over 600 bytes each. */
   static final int MAX_OBJECT_BYTES = 2 << 20;
+  /** An object and its line end. */
+  static final int MAX_LINE_BYTES = MAX_OBJECT_BYTES + 2;
   private ByteArrayOutputStream buffer = new ByteArrayOutputStream();
   private int depth;
   private boolean inString, escaped;
--- a/src/main/java/gapproxy/platform/PlatformServers.java
+++ b/src/main/java/gapproxy/platform/PlatformServers.java
@@ -168,6 +168,12 @@
       }
     }
 
+    /** No limit on the stream as a whole, which is passed on and not kept; but no chunk of it is longer than a body may be. */
+    @Override
+    public long maxStatedBytes() {
+      return Protocol.MAX_BODY_BYTES;
+    }
+
     @Override
     public long retainedBytes() {
       return events.memoryBytes();
--- a/src/main/java/gapproxy/platform/Watch.java
+++ b/src/main/java/gapproxy/platform/Watch.java
@@ -183,6 +183,12 @@
       call.cancel();
     }
 
+    /** A list may come as one chunk. */
+    @Override
+    public long maxStatedBytes() {
+      return JsonObjectSplitter.MAX_LINE_BYTES;
+    }
+
     @Override
     public void head(int status, Map<String, String> headers) {
       statusOk = status == 200;
--- a/src/test/java/gapproxy/http/MalformedResponsesTest.java
+++ b/src/test/java/gapproxy/http/MalformedResponsesTest.java
@@ -25,10 +25,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** How the HTTP client handles malformed or unsolicited responses, sent as raw bytes on a connection that stays open. */
 class MalformedResponsesTest {
   private static final String CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  /** As long as a body that is kept may be, see {@link #ask}. */
+  private static final int MAX_STATED_BYTES = 1 << 20;
   private static final String VALID_RESPONSE = CHUNKED_HEAD + "5\r\nhello\r\n0\r\n\r\n";
   private final List<Socket> accepted = new ArrayList<>();
   private LiveLoop loop;
@@ -129,8 +132,47 @@
     return result[0];
   }
 
-  private void assertResponseFails(String response) throws InterruptedException {
+  /** A body that is passed on as it comes has no limit as a whole, but each length that is stated for it has. */
+  private Result askForStream() throws Exception {
+    CompletableFuture<Result> result = new CompletableFuture<>();
+    loop.execute(() -> http.call(new InetSocketAddress("127.0.0.1", server.getLocalPort()), "GET", "/", Map.of(), new byte[0],
+        Duration.ofSeconds(5), new HttpClient.Listener() {
+          private final StringBuilder body = new StringBuilder();
+          private int status;
+
+          @Override
+          public long maxStatedBytes() {
+            return MAX_STATED_BYTES;
+          }
+
+          @Override
+          public void head(int s, Map<String, String> headers) {
+            status = s;
+          }
+
+          @Override
+          public void data(byte[] bytes) {
+            body.append(new String(bytes, StandardCharsets.ISO_8859_1));
+          }
+
+          @Override
+          public void end() {
+            result.complete(new Result(status, body.toString(), null));
+          }
+
+          @Override
+          public void failed(HttpClient.Failure how, String why) {
+            result.complete(new Result(0, "", how));
+          }
+        }));
+    return result.get(5, TimeUnit.SECONDS);
+  }
+
+  private void assertResponseFails(String response) throws Exception {
+    int flood = floodWrites;
     answer = response;
+    assertEquals(HttpClient.Failure.BROKEN, askForStream().failure(), "passed on: " + response.substring(0, Math.min(60, response.length())));
+    floodWrites = flood;
     assertEquals(HttpClient.Failure.BROKEN, ask().failure(), response.substring(0, Math.min(60, response.length())));
     floodWrites = 0;
     answer = VALID_RESPONSE;
@@ -180,6 +222,51 @@
     assertResponseFails(CHUNKED_HEAD + "c0000000\r\nhello");
   }
 
+  /** A chunk of gigabytes was read until the body as a whole was too long, or for ever where that has no limit. */
+  @ParameterizedTest
+  @ValueSource(strings = {"c0000000", "ffffffff", "100001", "0000100001;a=b", "fffffffffffffff", "7fffffffffffffff"})
+  void oversizedChunkFailsBeforeAnyOfItHasCome(String size) throws Exception {
+    assertResponseFails(CHUNKED_HEAD + size + "\r\n");
+    assertResponseFails(CHUNKED_HEAD + "5\r\nhello\r\n" + size + "\r\n");
+  }
+
+  /** A Content-Length of gigabytes was read on as well. */
+  @ParameterizedTest
+  @ValueSource(strings = {"3221225472", "1048577", "9223372036854775807", "99999999999999999999", "-1", "-5"})
+  void oversizedLengthFailsBeforeAnyOfItHasCome(String length) throws Exception {
+    assertResponseFails("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n");
+    assertResponseFails("HTTP/1.1 503 Busy\r\nContent-Length: " + length + "\r\n\r\nhello");
+  }
+
+  @Test
+  void longestChunkAndLengthAreRead() throws Exception {
+    String longest = "x".repeat(MAX_STATED_BYTES);
+    for (String form : List.of(CHUNKED_HEAD + "100000\r\n" + longest + "\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + longest)) {
+      answer = form;
+      assertEquals(new Result(200, longest, null), ask());
+      assertEquals(new Result(200, longest, null), askForStream());
+    }
+  }
+
+  /** Chunks that are sound one by one: a body that is kept ends by their sum, one that is passed on does not. */
+  @Test
+  void sumOfChunksIsLimitedWhereTheBodyIsKept() throws Exception {
+    String half = "80000\r\n" + "x".repeat(1 << 19) + "\r\n";
+    answer = CHUNKED_HEAD + half + half + "1\r\nx\r\n0\r\n\r\n";
+    assertEquals(HttpClient.Failure.BROKEN, ask().failure());
+    assertEquals(200, askForStream().status());
+  }
+
+  /** A response that has no body by its status states nothing by its length. */
+  @ParameterizedTest
+  @ValueSource(ints = {204, 304})
+  void lengthOfAResponseWithoutBodyIsIgnored(int status) throws Exception {
+    answer = "HTTP/1.1 " + status + " None\r\nContent-Length: 3221225472\r\n\r\n";
+    assertEquals(new Result(status, "", null), ask());
+    assertEquals(new Result(status, "", null), askForStream());
+  }
+
   @Test
   void validResponsesParseWithAnySegmentation() throws Exception {
     List<String> forms = List.of(VALID_RESPONSE,
--- a/src/test/java/gapproxy/soak/SilentStreamPlay.java
+++ b/src/test/java/gapproxy/soak/SilentStreamPlay.java
@@ -13,8 +13,10 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
@@ -34,12 +36,27 @@
    *
    * @param after time since the previous write
    * @param text what is written
-   * @param form whether the text completes an event, whether it goes around the chunked encoding, or neither
+   * @param form what the text is
    */
   record Step(Duration after, String text, Form form) {}
 
   /** What a {@link Step} writes. */
-  enum Form { EVENT, OTHER, RAW }
+  enum Form {
+    /** Text that completes an event, as a chunk. */
+    EVENT,
+    /** Any other text, as a chunk. */
+    OTHER,
+    /** Bytes that go around the chunked encoding. */
+    RAW,
+    /** Bytes that complete an event, in a chunk whose size was written by an earlier step. */
+    RAW_EVENT,
+    /** Bytes from the status line on, in place of the usual head and its chunks. */
+    HEAD;
+
+    private boolean completesEvent() {
+      return this == EVENT || this == RAW_EVENT;
+    }
+  }
 
   /** What a model server writes; behind the last step it keeps the stream open, or ends it. */
   record Script(String name, List<Step> steps, boolean ends) {}
@@ -48,9 +65,10 @@
    * How one stream ended for its client.
    *
    * @param whole whether the answer came to its regular end
-   * @param waited time from the server's last whole event to the client's end
+   * @param waited time from the server's last whole event to the client's end; zero if there was none
+   * @param status of the response
    */
-  record Outcome(String script, boolean whole, Duration waited, int attempts) {}
+  record Outcome(String script, boolean whole, Duration waited, int attempts, int status) {}
 
   /** Whether the process is held up at times. */
   enum HoldUps { NONE, AT_TIMES }
@@ -65,6 +83,8 @@
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final Map<String, Long> lastEventNanos = new ConcurrentHashMap<>();
   private final Map<String, Integer> attempts = new ConcurrentHashMap<>();
+  /** Answers whose heads were written as bytes. Used on the loop. */
+  private final Set<Exchange> rawAnswers = new HashSet<>();
   private final GatewayProcess gateway;
   private final Duration late;
   private PlatformSite site;
@@ -137,14 +157,17 @@
   }
 
   private void writeStep(Exchange exchange, String id, Step step) {
-    if (step.form == Form.EVENT) {
+    if (step.form.completesEvent()) {
       lastEventNanos.put(id, System.nanoTime());
     }
     Runnable write = () -> {
-      if (!exchange.hasBegun()) {
+      if (!exchange.hasBegun() && step.form != Form.HEAD && !rawAnswers.contains(exchange)) {
         exchange.begin(200, Map.of("content-type", "text/event-stream"));
       }
-      if (step.form == Form.RAW) {
+      if (step.form == Form.HEAD) {
+        rawAnswers.add(exchange);
+      }
+      if (step.form != Form.EVENT && step.form != Form.OTHER) {
         exchange.connection().write(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, step.text));
       } else {
         exchange.write(step.text);
@@ -168,9 +191,10 @@
                 .getBytes(StandardCharsets.US_ASCII));
         String answer = readToEnd(socket.getInputStream());
         long ended = System.nanoTime();
-        if (answer.startsWith("HTTP/1.1 200")) {
+        // A server that has written no event has had its attempt as well: the answer is about that.
+        if (answer.startsWith("HTTP/1.1 200") || attempts.containsKey(id) && !lastEventNanos.containsKey(id)) {
           return new Outcome(script, answer.contains("data: [DONE]") && answer.endsWith("\r\n0\r\n\r\n"),
-              Duration.ofNanos(ended - lastEventNanos.get(id)), attempts.get(id));
+              Duration.ofNanos(ended - lastEventNanos.getOrDefault(id, ended)), attempts.get(id), status(answer));
         }
       }
       Thread.sleep(RETRY_MS);  // pushed back
@@ -178,6 +202,10 @@
     throw new IOException(id + " was refused each time");
   }
 
+  private static int status(String answer) {
+    return answer.startsWith("HTTP/1.1 ") ? Integer.parseInt(answer.substring(9, 12)) : 0;
+  }
+
   /** Reads to the last chunk, the end of a response with a length, or the end of the connection. */
   private static String readToEnd(InputStream in) throws IOException {
     StringBuilder text = new StringBuilder();
