Write the error for a badly chunked request after earlier answers

Callers saw: on a connection with an earlier request unanswered, the 400 for a badly chunked body came first and would be taken for the earlier request's answer. Cause: the codec writes that error itself, past the queue of responses; only errors of heads were kept in order. Change: StrictRequestCodec passes such an error to ServerConnection, which queues it; a body that states too much gets 413 also where head and size line come in one read. Evidence: RequestFramingTest.errorForABodyComesAfterEarlierAnswers, red before (400 ahead of 200), and requestThatStatesTooMuchIsRefusedBeforeItHasCome; RequestFramingTest, HttpServerRaceTest, BadInputTest, MemoryChargeReleaseTest, MalformedResponsesTest pass.

--- a/src/main/java/gapproxy/http/ServerConnection.java
+++ b/src/main/java/gapproxy/http/ServerConnection.java
@@ -13,7 +13,6 @@
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
-import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.Protocol;
@@ -133,19 +132,17 @@
 
   /** Handles the next part of a request. */
   void handlePart(HttpContent part) {
+    if (discarding) {
+      return;
+    }
     HttpRequestPacket requestPacket = (HttpRequestPacket) part.getHttpHeader();
     if (packet != requestPacket) {
       packet = requestPacket;
       beginRequest(requestPacket);
     }
-    if (discarding) {
-      return;
-    }
     Buffer content = part.getContent();
-    if (part instanceof HttpBrokenContent broken && LengthLimits.isCauseOf(broken.getException())) {
-      rejectUnreadable(413, broken.getException().getMessage());
-    } else if (HttpContent.isBroken(part)) {
-      rejectUnreadable(400, "the body is broken off or badly chunked");
+    if (HttpContent.isBroken(part)) {
+      rejectBody(null);
     } else if (incoming.receivedBytes() + content.remaining() > limits.maxBodyBytes()
         || requestPacket.getContentLength() > limits.maxBodyBytes()) {
       rejectUnreadable(413, "the body is longer than " + limits.maxBodyBytes() + " bytes");
@@ -192,6 +189,19 @@
     handover.add(new ReceivedRequest.Accepted(() -> serve(requestPacket, request, charge, decoded, sentAt), charge, !inputDrained));
   }
 
+  /**
+   * Rejects the request that is being received, as its body can't be decoded.
+   *
+   * @param cause why, or null
+   */
+  void rejectBody(Throwable cause) {
+    if (LengthLimits.isCauseOf(cause)) {
+      rejectUnreadable(413, cause.getMessage());
+    } else {
+      rejectUnreadable(400, "the body is broken off or badly chunked");
+    }
+  }
+
   /** Queues an error response for an unreadable request, after the responses to earlier requests; further input is discarded. */
   void rejectUnreadable(int status, String message) {
     discardInput();
--- a/src/main/java/gapproxy/http/StrictRequestCodec.java
+++ b/src/main/java/gapproxy/http/StrictRequestCodec.java
@@ -85,6 +85,13 @@
     }
   }
 
+  /** Leaves the error response to the connection, which keeps the order of responses. */
+  @Override
+  protected void onHttpContentError(HttpHeader head, FilterChainContext ctx, Throwable cause) {
+    ServerConnection.of(ctx.getConnection()).rejectBody(cause);
+    head.setContentBroken(true);
+  }
+
   @Override
   protected HttpContent customizeErrorResponse(HttpResponsePacket response) {
     byte[] body = errorBodies.apply(response.getStatus());
--- a/src/test/java/gapproxy/http/RequestFramingTest.java
+++ b/src/test/java/gapproxy/http/RequestFramingTest.java
@@ -169,6 +169,43 @@
     }
   }
 
+  /** A request that states more than a body may hold was read up to the limit before it was refused. */
+  @Test
+  void requestThatStatesTooMuchIsRefusedBeforeItHasCome() throws Exception {
+    int most = ServerLimits.DEFAULT.maxBodyBytes();
+    for (String unsound : List.of("Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(most + 1) + "\r\n",
+        "Transfer-Encoding: chunked\r\n\r\nc0000000;a=b\r\n", "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n" + Integer.toHexString(most)
+            + "\r\n", "Content-Length: " + (most + 1) + "\r\n\r\n", "Content-Length: 3221225472\r\n\r\n")) {
+      byte[] bytes = ("POST /a HTTP/1.1\r\nHost: m\r\n" + unsound).getBytes(StandardCharsets.UTF_8);
+      for (int cut : new int[] {bytes.length, bytes.length - 1, 20}) {
+        Connection<?> connection = open();
+        send(connection, Arrays.copyOf(bytes, cut));
+        send(connection, Arrays.copyOfRange(bytes, cut, bytes.length));
+        assertEquals("HTTP/1.1 413", net.written.substring(0, Math.min(12, net.written.length())), unsound + "cut at " + cut);
+        assertEquals(List.of(), bodies, unsound);
+      }
+    }
+    String longest = "x".repeat(most);
+    for (byte[] sound : List.of(request("Transfer-Encoding: chunked\r\n", chunked(longest)), request("Content-Length: " + most + "\r\n", longest))) {
+      send(open(), sound);
+      assertEquals(List.of(longest), bodies, net.written.toString());
+    }
+  }
+
+  /** The error for a badly chunked body was written ahead of the answers to earlier requests, and would have been taken for one of them. */
+  @Test
+  void errorForABodyComesAfterEarlierAnswers() throws Exception {
+    for (String unsound : List.of("zz\r\n", "4\r\nhello\r\n", "c0000000\r\n")) {
+      byte[] bytes = (new String(request("Content-Length: 5\r\n", "hello"), StandardCharsets.UTF_8)
+          + "POST /b HTTP/1.1\r\nHost: m\r\nTransfer-Encoding: chunked\r\n\r\n" + unsound).getBytes(StandardCharsets.UTF_8);
+      send(open(), bytes);
+      assertEquals(List.of("hello"), bodies, unsound);
+      String written = net.written.toString();
+      assertEquals("HTTP/1.1 200", written.substring(0, 12), unsound + written);
+      assertEquals(2, written.split("HTTP/1.1 [24]", -1).length - 1, unsound + written);
+    }
+  }
+
   private static String head(int fields) {
     return "GET /a HTTP/1.1\r\nHost: m\r\n" + "a: b\r\n".repeat(fields - 1);
   }
