Let an event that is written past the limit rest for the whole limit

Cause: StreamSilencePolicy let the next rest in an event be half a second longer than the longest so far, also where bytes had come past the limit; SilentStreamTest played growing rests only. Change: where that rule would end the answer past 5.05 s, which is late for a silent server in any case, the rest may take the whole limit from the last bytes. What falls silent before is ended as it was; comments keep the old rule.

--- a/src/main/java/gapproxy/gateway/StreamActivity.java
+++ b/src/main/java/gapproxy/gateway/StreamActivity.java
@@ -28,6 +28,7 @@
   private Arrival lastEvent;
   private Duration lastReadAt;
   private Duration lastPartAt;
+  private boolean inEvent;
   private Duration longestRestInEvent = Duration.ZERO;
   private boolean commentCounts;
   private Silence silence = Silence.AFTER_EVENT;
@@ -50,7 +51,10 @@
     lastReadAt = arrival.readAt();
     switch (content) {
       case EVENT -> eventReceived(arrival);
-      case EVENT_PART -> partReceived();
+      case EVENT_PART -> {
+        inEvent = true;
+        partReceived();
+      }
       case COMMENT_BEGUN -> {
         commentCounts = policy.countsComment(this, lastReadAt);
         commentReceived();
@@ -77,6 +81,7 @@
 
   private void commentReceived() {
     if (commentCounts) {
+      inEvent = false;
       partReceived();
     } else {
       silence = Silence.AFTER_COMMENTS;
@@ -119,6 +124,11 @@
     return lastPartAt;
   }
 
+  /** Whether such bytes, if there were any, were last of an event. */
+  boolean isInEvent() {
+    return inEvent;
+  }
+
   /** The longest time between two reads of such bytes, including the time before the first. */
   Duration longestRestInEvent() {
     return longestRestInEvent;
--- a/src/main/java/gapproxy/gateway/StreamSilencePolicy.java
+++ b/src/main/java/gapproxy/gateway/StreamSilencePolicy.java
@@ -7,7 +7,8 @@
  *
  * <p>The time runs from the last whole event. Comments and blank lines are no events and change nothing. Bytes of an event that is not
  * complete don't start the time anew; but an event that is still being written when the time is over may be completed. It counts as
- * being written while no rest between its bytes is much longer than the longest before.
+ * being written while no rest between its bytes is much longer than the longest before. If that allows an end past the limit, where the end
+ * would be too late for a silent server in any case, the rest may take the whole limit: only the bytes can be counted from there on.
  *
  * <p>Where the client has to see the end by a time, the answer is ended earlier by a reserve. An event may have been sent before it is read: by
  * the time that bytes are on their way, and by that of a hold-up of the process. The time is counted from the earliest moment, as far as
@@ -23,10 +24,12 @@
   /** How much longer than the longest rest in an event the next one may be. */
   private static final Duration REST_TOLERANCE = Duration.ofMillis(500);
 
+  private final Duration limit;
   private final Duration endAfter;
   private final Duration endAfterRead;
 
   StreamSilencePolicy(SilenceLimit limit) {
+    this.limit = limit.time();
     boolean early = limit.side() == SilenceLimit.Side.END_BEFORE;
     endAfter = early ? limit.time().minus(RESERVE) : limit.time();
     endAfterRead = early ? limit.time().minus(LARGEST_RESERVE) : limit.time();
@@ -49,11 +52,14 @@
     Duration earliest = latest(activity.lastEvent().earliest(), resumedAt);
     Duration read = latest(activity.lastEvent().readAt(), resumedAt);
     Duration endAt = latest(earliest.plus(endAfter), read.plus(endAfterRead));
-    if (activity.lastPartAt() == null) {
-      return endAt;
-    }
-    Duration rest = activity.longestRestInEvent().plus(REST_TOLERANCE);
-    return latest(endAt, activity.lastPartAt().plus(rest.compareTo(endAfter) < 0 ? rest : endAfter));
+    return activity.lastPartAt() == null ? endAt : latest(endAt, endOfRest(activity, earliest.plus(limit)));
+  }
+
+  /** Until when a server that writes an event or a comment may rest before its next bytes. */
+  private Duration endOfRest(StreamActivity activity, Duration latestEnd) {
+    Duration usualEnd = activity.lastPartAt().plus(earliest(activity.longestRestInEvent().plus(REST_TOLERANCE), endAfter));
+    boolean pastLimit = usualEnd.compareTo(latestEnd) > 0;
+    return pastLimit && activity.isInEvent() ? activity.lastPartAt().plus(limit) : usualEnd;
   }
 
   /** Whether a comment that is begun at a time may still be completed after the end of the time for the next event. */
@@ -61,6 +67,10 @@
     return begunAt.compareTo(activity.lastEvent().readAt().plus(endAfter)) < 0;
   }
 
+  private static Duration earliest(Duration a, Duration b) {
+    return a.compareTo(b) < 0 ? a : b;
+  }
+
   private static Duration latest(Duration a, Duration b) {
     return a.compareTo(b) > 0 ? a : b;
   }
--- a/src/test/java/gapproxy/soak/SilentStreamTest.java
+++ b/src/test/java/gapproxy/soak/SilentStreamTest.java
@@ -14,8 +14,10 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -60,6 +62,30 @@
     }).toArray(Step[]::new);
   }
 
+  /** An event of some length in pieces, each after a rest. */
+  private static Step[] piecesWithRests(int bytes, long... restsMs) {
+    String text = PlatformSite.eventText(2).replace("w2", "w".repeat(bytes));
+    return IntStream.range(0, restsMs.length).mapToObj(i -> {
+      String piece = text.substring((int) ((long) text.length() * i / restsMs.length),
+          (int) ((long) text.length() * (i + 1) / restsMs.length));
+      return new Step(Duration.ofMillis(restsMs[i]), piece, i == restsMs.length - 1 ? Form.EVENT : Form.OTHER);
+    }).toArray(Step[]::new);
+  }
+
+  private static long[] rests(long... restsMs) {
+    return restsMs;
+  }
+
+  /** Even rests for a time, then others. */
+  private static long[] evenRests(long eachMs, long forMs, long... thenMs) {
+    return LongStream.concat(LongStream.iterate(eachMs, ms -> eachMs).limit(forMs / eachMs), LongStream.of(thenMs)).toArray();
+  }
+
+  private static long[] randomRests(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    return LongStream.range(0, 12).map(i -> 100 + random.nextInt(random.nextInt(4) == 0 ? 1500 : 300)).toArray();
+  }
+
   private static Script script(String name, boolean ends, Object... steps) {
     List<Step> all = new ArrayList<>(List.of(event(0), event(80)));
     for (Object step : steps) {
@@ -109,6 +135,41 @@
         script("event in pieces, 4 s", true, pieces(2, 4000), end(20)));
   }
 
+  /** Streams whose servers write one long event past the limit, with uneven rests, and go on. */
+  private static List<Script> longEvents() {
+    List<Script> scripts = new ArrayList<>();
+    for (long rest : new long[] {500, 1000, 3000, 4500}) {
+      for (int bytes : new int[] {3_000, 40_000}) {
+        scripts.add(script("event of " + bytes + " in even pieces, a rest of " + rest + " ms past the limit", true,
+            piecesWithRests(bytes, evenRests(240, 6000, rest, 240, 240)), end(20)));
+      }
+      scripts.add(script("a rest of " + rest + " ms at the begin", true, piecesWithRests(3_000, LongStream.concat(LongStream.of(rest),
+          LongStream.of(evenRests(240, 6000))).toArray()), end(20)));
+    }
+    scripts.add(script("a rest of 1 s as the limit is reached", true, piecesWithRests(3_000, evenRests(240, 4560, 1000, 240, 240)), end(20)));
+    scripts.add(script("a rest of 1 s in the midst", true, piecesWithRests(3_000, LongStream.concat(LongStream.of(evenRests(240, 2400, 1000)),
+        LongStream.of(evenRests(240, 4800))).toArray()), end(20)));
+    scripts.add(script("growing rests", true, piecesWithRests(3_000, rests(100, 200, 400, 800, 1300, 1900, 2500, 3100)), end(20)));
+    scripts.add(script("shrinking rests", true, piecesWithRests(3_000, rests(3100, 2500, 1900, 1300, 800, 400, 200, 100)), end(20)));
+    scripts.add(script("two rests past the limit", true, piecesWithRests(3_000, evenRests(240, 6000, 4500, 240, 4500, 240)), end(20)));
+    for (long seed = 1; seed <= 4; seed++) {
+      scripts.add(script("random rests, seed " + seed, true, piecesWithRests(3_000, randomRests(seed)), end(20)));
+    }
+    return scripts;
+  }
+
+  /** Streams whose servers write a part of an event for a time that is over before the limit, and then nothing. */
+  private static List<Script> silentInPieces() {
+    return List.of(
+        script("even pieces for 4 s", false, (Object) withoutLast(piecesWithRests(3_000, evenRests(240, 4000, 240)))),
+        script("large event, even pieces for 4 s", false, (Object) withoutLast(piecesWithRests(40_000, evenRests(240, 4000, 240)))),
+        script("shrinking rests for 2 s", false, (Object) withoutLast(piecesWithRests(3_000, rests(1000, 500, 250, 125, 60, 30, 30)))));
+  }
+
+  private static Step[] withoutLast(Step[] steps) {
+    return Arrays.copyOf(steps, steps.length - 1);
+  }
+
   private static String tooLate(List<Outcome> outcomes) {
     return outcomes.stream().filter(o -> o.waited().compareTo(LATEST_END) > 0).map(Outcome::toString).collect(Collectors.joining("\n"));
   }
@@ -133,6 +194,22 @@
     }
   }
 
+  /** A long event that was still being written was cut off 0.74 s after its last bytes, in a rest that was longer than those before. */
+  @ParameterizedTest
+  @CsvSource({"0,NONE", "150,NONE", "0,AT_TIMES"})
+  @Execution(ExecutionMode.CONCURRENT)
+  void longEventWithUnevenRestsIsServed(long lateMs, HoldUps holdUps) throws Exception {
+    List<Script> scripts = Stream.of(longEvents(), silentInPieces()).flatMap(List::stream).toList();
+    try (SilentStreamPlay play = new SilentStreamPlay(dir, Duration.ofMillis(lateMs))) {
+      List<Outcome> outcomes = play.play(scripts, COPIES, holdUps, lateMs);
+      List<String> served = longEvents().stream().map(Script::name).toList();
+      assertEquals("", notWhole(outcomes.stream().filter(o -> served.contains(o.script())).toList()), "cut off");
+      List<Outcome> ended = outcomes.stream().filter(o -> !served.contains(o.script())).toList();
+      assertEquals("", tooEarly(ended), "ended too early");
+      assertEquals("", tooLate(ended), "ended too late");
+    }
+  }
+
   /** The same while the gateway stops, which lets its streams end. */
   @Test
   @Execution(ExecutionMode.CONCURRENT)
