Close a connection that was answered before its request was written

Cause: at the end of a response HttpClient returned the connection to the pool without asking whether its request had been written, so the next request, probe, release or reservation stood behind the rest (RFC 9112, section 9.3: no reuse before the request was sent whole). Change: after the 0.05 s that a used connection rests anyway it is closed if its request is not written; what the server has answered stands. Both sides: an answer that follows the last byte at once does reuse its connection. HttpClientRaceTest.connectionIsNotReusedBeforeItsRequestWasWritten was red before (the next request never got a connection of its own) and is green; connectionIsReusedWhenItsAnswerFollowsTheLastByteAtOnce: one connection for 21 requests of 200 KB.

--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -562,7 +562,7 @@
     volatile boolean responseExpected;                        // a response is expected or incomplete
     Call call;
     Loop.Timer poolTimer;
-    volatile boolean requestWritten;                          // the call's request was written completely
+    volatile boolean requestWritten = true;                   // the last call's request, if there was one, was written completely
     boolean countedOpen, closed, responseStarted;
     int startedResponses;
     Duration idleSince;                                       // when the connection entered the pool; null if it never did
@@ -620,7 +620,7 @@
      * Puts the connection into the pool, after a delay if it has been used. If the server sends unsolicited bytes some milliseconds after
      * the response, the connection is closed within that delay; otherwise they would be taken for the response to the next request, since
      * nothing in a response names its request. After the delay, what had arrived by then is read first: on a busy machine the reading thread
-     * may be behind the loop.
+     * may be behind the loop. A request whose answer came at its last byte counts as written by then.
      */
     void returnToPool() {
       if (startedResponses == 0) {
@@ -630,8 +630,11 @@
       poolTimer = loop.after(POOL_RETURN_DELAY, () -> net.afterNextRead(connection, () -> loop.execute(this::enterPool)));
     }
 
+    /** A connection whose request has not been written completely is closed instead, as the next one would wait behind the rest. */
     private void enterPool() {
-      if (!closed && connection.isOpen()) {
+      if (!requestWritten) {
+        connection.terminateSilently();
+      } else if (!closed && connection.isOpen()) {
         idleSince = loop.now();
         pool.computeIfAbsent(address, a -> new ArrayDeque<>()).add(this);
         poolTimer = loop.after(idleTimeout, connection::closeSilently);
--- a/src/test/java/gapproxy/http/HttpClientRaceTest.java
+++ b/src/test/java/gapproxy/http/HttpClientRaceTest.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
@@ -31,6 +32,7 @@
 /** Races in the HTTP client, on loopback. The test acts as the server and controls each byte that the server sends. */
 class HttpClientRaceTest {
   private static final String VALID_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+  private static final int BODY_BEYOND_SOCKET_BUFFERS = 32 << 20;
   private LiveLoop loop;
   private LiveNet net;
   private HttpClient http;
@@ -405,4 +407,57 @@
       }
     }
   }
+
+  private CompletableFuture<Result> post(byte[] body) {
+    CompletableFuture<Result> result = new CompletableFuture<>();
+    loop.execute(() -> http.fetch(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), "POST", "/", Map.of(), body,
+        Duration.ofSeconds(5), Duration.ofSeconds(10), 1 << 20,
+        (status, h, answer, failure, why) -> result.complete(new Result(status, new String(answer, StandardCharsets.ISO_8859_1), failure))));
+    return result;
+  }
+
+  /** Requests stood behind the rest of an earlier one that its server had answered before reading it, until their deadline. */
+  @Test
+  void connectionIsNotReusedBeforeItsRequestWasWritten() throws Exception {
+    server.setReceiveBufferSize(4 << 10);
+    CompletableFuture<Result> first = post(new byte[BODY_BEYOND_SOCKET_BUFFERS]);
+    try (Socket early = accept()) {
+      readRequest(early);
+      early.getOutputStream().write(VALID_RESPONSE.getBytes(StandardCharsets.US_ASCII));
+      assertEquals(new Result(200, "hello", null), first.get(5, TimeUnit.SECONDS), "the early answer stands");
+      TimeUnit.MILLISECONDS.sleep(100);                       // past the time after which a connection is reused
+      CompletableFuture<Result> second = ask();
+      try (Socket other = accept()) {
+        readRequest(other);
+        other.getOutputStream().write(VALID_RESPONSE.getBytes(StandardCharsets.US_ASCII));
+        assertEquals(new Result(200, "hello", null), second.get(5, TimeUnit.SECONDS));
+      }
+      long received = 0;
+      try {
+        for (int n = early.getInputStream().read(new byte[64 << 10]); n >= 0; n = early.getInputStream().read(new byte[64 << 10])) {
+          received += n;
+        }
+      } catch (SocketException e) {
+        assertTrue(received < BODY_BEYOND_SOCKET_BUFFERS);    // reset: what was not written was dropped
+      }
+      assertTrue(received < BODY_BEYOND_SOCKET_BUFFERS, "the rest was written on");
+    }
+  }
+
+  @Test
+  void connectionIsReusedWhenItsAnswerFollowsTheLastByteAtOnce() throws Exception {
+    int bytes = 200_000;
+    CompletableFuture<Result> pending = post(new byte[bytes]);
+    try (Socket only = accept()) {
+      for (int i = 0; i < 20; i++) {
+        readRequest(only);
+        only.getInputStream().readNBytes(bytes);
+        only.getOutputStream().write(VALID_RESPONSE.getBytes(StandardCharsets.US_ASCII));
+        assertEquals(200, pending.get(5, TimeUnit.SECONDS).status());
+        TimeUnit.MILLISECONDS.sleep(100);
+        pending = post(new byte[bytes]);
+      }
+    }
+    assertEquals(1, http.openedConnections());
+  }
 }
