Soak streams with chunks that state too much and events with uneven rests

Change: kinds HUGE_CHUNK, OVERSIZED_CHUNK, HUGE_CHUNK_AT_FIRST, ENDLESS_SIZE_LINE and UNEVEN_EVENT; nothing inside a spoilt chunk counts as an event, no such event may be the first that a client gets, and the parts of an event that the server completes do count.

--- a/src/main/java/gapproxy/soak/Soak.java
+++ b/src/main/java/gapproxy/soak/Soak.java
@@ -39,7 +39,7 @@
       OLD_DISCOVERY_OPEN = Duration.ofMillis(1500);
   private static final Duration STOP_NOTICE_DELAY = Duration.ofMillis(300), RECOVERY_TIME = Duration.ofSeconds(1);
   // for an event that is written slowly, and the rest of its stream
-  private static final Duration ODD_STREAM_TIME = Duration.ofSeconds(8);
+  private static final Duration ODD_STREAM_TIME = Duration.ofSeconds(12);
   private static final Duration SETTLE_TIME = Duration.ofMillis(2700), REFUSAL_DELAY = Duration.ofMillis(700);
   private static final Duration SINGLE_SILENCE_INTERVAL = Duration.ofMillis(150), MAX_HARNESS_DELAY = Duration.ofMillis(300);
   private static final double SILENCED_SHARE = 0.8, SINGLE_SILENCE_SHARE = 0.08, ROLE_SILENCE_SHARE = 0.8;
--- a/src/main/java/gapproxy/soak/SoakBackends.java
+++ b/src/main/java/gapproxy/soak/SoakBackends.java
@@ -22,6 +22,8 @@
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
 
 /**
  * Simulated model servers and discovery that speak the platform's protocol, with a separate port for each gateway. Belongs to one
@@ -408,7 +410,10 @@
             servers.forEach(m -> m.release(id, true));  // the first event releases state that became held meanwhile
           }
         }
-        if (fault != null && number == EVENTS_BEFORE_FAULT) {
+        if (fault == StreamFault.HUGE_CHUNK_AT_FIRST) {
+          exchange.write(": spoilt from its first chunk\n");
+          writeFault(0);
+        } else if (fault != null && number == EVENTS_BEFORE_FAULT) {
           writeFault(0);
         } else if (number < EVENTS_PER_STREAM) {
           writeContent();
@@ -448,9 +453,14 @@
         }
         StreamFault.Write write = fault.writes().get(next);
         whileOpen(loop.now().plus(write.pause()), () -> {
-          streamRecord.lastEventAt = write.completesEvent() ? loop.now() : streamRecord.lastEventAt;
-          streamRecord.spoilt |= fault == StreamFault.NOISE;
-          exchange.write(write.text());
+          boolean counts = fault.goesOn || write.form() == StreamFault.Form.EVENT;
+          streamRecord.lastEventAt = counts ? loop.now() : streamRecord.lastEventAt;
+          streamRecord.spoilt |= fault.spoilsAnswer();
+          if (write.form() == StreamFault.Form.RAW) {
+            exchange.connection().write(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, write.text()));
+          } else {
+            exchange.write(write.text());
+          }
           writeFault(next + 1);
         });
       }
--- a/src/main/java/gapproxy/soak/SoakClients.java
+++ b/src/main/java/gapproxy/soak/SoakClients.java
@@ -240,6 +240,9 @@
       text.append(some);
       if (!firstTokenSeen) {
         firstTokenSeen = true;
+        if (some.contains(StreamFault.SPOILT_CONTENT)) {
+          judge.addViolation(loop.now(), id + ": an answer that was spoilt before its first event was passed on; " + describe());
+        }
         readSlowly();
         judge.audit.firstToken(loop.now(), id, 0);
       }
--- a/src/test/java/gapproxy/soak/SoakTest.java
+++ b/src/test/java/gapproxy/soak/SoakTest.java
@@ -143,6 +143,30 @@
     }
   }
 
+  /** A fault of report 1b814f: any size that a chunk states is believed. */
+  @Test
+  @Execution(ExecutionMode.CONCURRENT)
+  void plantedBeliefInAnyChunkSizeIsFound() throws Exception {
+    Path classes = SourceMutation.compile(dir, List.of(
+        new SourceMutation("http/LengthLimits.java", "chunkBytes > maxStatedBytes", "chunkBytes > Long.MAX_VALUE - maxStatedBytes")));
+    try (Soak soak = new Soak(oddStreamPlan(), dir, "", Set.of())) {
+      soak.overrideGatewayClasses(classes);
+      assertFound(soak.run(), List.of(), List.of("after the last event of a running server", "spoilt before its first event"));
+    }
+  }
+
+  /** The other fault of that report: past the limit a rest in an event may be only half a second longer than the longest before. */
+  @Test
+  @Execution(ExecutionMode.CONCURRENT)
+  void plantedToleranceOfUnevenRestsIsFound() throws Exception {
+    Path classes = SourceMutation.compile(dir, List.of(
+        new SourceMutation("gateway/StreamSilencePolicy.java", "pastLimit && activity.isInEvent()", "pastLimit && !pastLimit")));
+    try (Soak soak = new Soak(oddStreamPlan(), dir, "", Set.of())) {
+      soak.overrideGatewayClasses(classes);
+      assertFound(soak.run(), List.of(), List.of("a stream was cut off"));
+    }
+  }
+
   /** Nothing is released when an answer breaks off after its first token. */
   @Test
   @Execution(ExecutionMode.CONCURRENT)
