--- a/src/test/java/gapproxy/soak/EarlyAnswerPlay.java
+++ b/src/test/java/gapproxy/soak/EarlyAnswerPlay.java
@@ -254,12 +254,12 @@
   }
 
   /** Plays both kinds of clients side by side. */
-  Result play(int usualClients, int largeClients, int largeDeadlineMs, Duration length) throws Exception {
+  Result play(int usualClients, int largeClients, int largeDeadlineMs, int largePromptTokens, Duration length) throws Exception {
     long until = System.nanoTime() + length.toNanos();
     List<Future<Outcome>> usual = new ArrayList<>(), large = new ArrayList<>();
     for (int i = 0; i < largeClients; i++) {
       String name = "large" + i;
-      large.add(threads.submit((Callable<Outcome>) () -> ask(name, 65_536, largeDeadlineMs, LARGE_BODY_BYTES, until)));
+      large.add(threads.submit((Callable<Outcome>) () -> ask(name, largePromptTokens, largeDeadlineMs, LARGE_BODY_BYTES, until)));
     }
     for (int i = 0; i < usualClients; i++) {
       String name = "usual" + i;
@@ -286,11 +286,14 @@
     gateway.releasePort();
   }
 
-  /** Prints the outcomes of one play. Arguments: folder, answer, bytes per second, usual clients, large clients, their deadline in ms, seconds. */
+  /**
+   * Prints the outcomes of one play. Arguments: folder, answer, bytes per second, usual clients, large clients, their deadline in ms, their prompt
+   * in tokens, seconds.
+   */
   public static void main(String[] args) throws Exception {
     try (EarlyAnswerPlay play = new EarlyAnswerPlay(Path.of(args[0]), Answer.valueOf(args[1]), Integer.parseInt(args[2]))) {
       System.out.println(args[1] + " " + play.play(Integer.parseInt(args[3]), Integer.parseInt(args[4]), Integer.parseInt(args[5]),
-          Duration.ofSeconds(Long.parseLong(args[6]))));
+          Integer.parseInt(args[6]), Duration.ofSeconds(Long.parseLong(args[7]))));
     }
     System.exit(0);
   }
--- a/src/test/java/gapproxy/soak/EarlyAnswerTest.java
+++ b/src/test/java/gapproxy/soak/EarlyAnswerTest.java
@@ -14,14 +14,15 @@
 
 /** Usual clients beside large requests that model servers read slowly, on a real gateway process. */
 class EarlyAnswerTest {
-  private static final int BYTES_PER_SECOND = 40_000, USUAL_CLIENTS = 6, LARGE_CLIENTS = 6, LARGE_DEADLINE_MS = 5000;
+  private static final int BYTES_PER_SECOND = 40_000, USUAL_CLIENTS = 6, LARGE_CLIENTS = 6, LARGE_DEADLINE_MS = 5000,
+      LARGE_PROMPT_TOKENS = 65_536;
 
   @TempDir
   private Path dir;
 
   private Result play(Answer answer) throws Exception {
     try (EarlyAnswerPlay play = new EarlyAnswerPlay(dir, answer, BYTES_PER_SECOND)) {
-      return play.play(USUAL_CLIENTS, LARGE_CLIENTS, LARGE_DEADLINE_MS, Duration.ofSeconds(6));
+      return play.play(USUAL_CLIENTS, LARGE_CLIENTS, LARGE_DEADLINE_MS, LARGE_PROMPT_TOKENS, Duration.ofSeconds(6));
     }
   }
 
