Measure the window of a keyed repeat from its arrival in the soak

How long a server lets an attempt wait is the server's. Change: SoakBackends tells the audit when an attempt that runs had arrived, instead of when its server began it; a repeat that arrives past the window is found as before.

--- a/src/main/java/gapproxy/soak/SoakBackends.java
+++ b/src/main/java/gapproxy/soak/SoakBackends.java
@@ -251,7 +251,7 @@
           exchange.terminate();
         }));
       } else {
-        write(exchange, id);
+        write(exchange, id, now);
       }
     }
 
@@ -300,14 +300,14 @@
     }
 
     /** Waits for the write's turn, for some writes a long time, and then fetches the state from its reader. */
-    private void write(Exchange exchange, String id) {
+    private void write(Exchange exchange, String id, Duration arrivedAt) {
       int startGeneration = generation;
       boolean slow = random.nextDouble() < peers.waiting();
       Duration slowUntil = slow ? loop.now().plusMillis(random.nextLong(peers.longestWait().toMillis())) : Duration.ZERO;
       waitingWrites.merge(id, 1, Integer::sum);
       awaitTurn(exchange, id, startGeneration, slowUntil.compareTo(hangsUntil) > 0 ? slowUntil : hangsUntil, new WaitCallbacks(() -> {
         waitingWrites.merge(id, -1, SoakBackends::decrement);
-        fetch(exchange, id, startGeneration);
+        fetch(exchange, id, startGeneration, arrivedAt);
       }, () -> {
         waitingWrites.merge(id, -1, SoakBackends::decrement);
         runDeferredRelease(id);
@@ -343,8 +343,12 @@
       return !exchange.isOpen() || silenceState.apply(port) == FaultProxy.SilenceState.CLOSED_BY_GATEWAY;
     }
 
-    /** Fetches the held state and streams the answer, or answers 410 if the req was read but its state is no longer held. */
-    private void fetch(Exchange exchange, String id, int startGeneration) {
+    /**
+     * Fetches the held state and streams the answer, or answers 410 if the req was read but its state is no longer held.
+     *
+     * @param arrivedAt when the attempt arrived: the window for repeats is one of sends, however long the server lets an attempt wait
+     */
+    private void fetch(Exchange exchange, String id, int startGeneration, Duration arrivedAt) {
       boolean stateHeld = servers.stream().anyMatch(m -> m.reader && m.held.contains(id));
       if (!stateHeld && completedReads.contains(id)) {
         recordAttemptEnd(exchange, id);
@@ -357,7 +361,7 @@
       if (!keepsState) {
         servers.forEach(m -> m.release(id, true));
       }
-      judge.audit.ran(loop.now(), number, id, id, exchange.request().header("idempotency-key"));
+      judge.audit.ran(arrivedAt, number, id, id, exchange.request().header("idempotency-key"));
       loop.after(Duration.ofMillis((stateHeld ? 15 : 70) + random.nextInt(30)), () -> {
         if (exchange.isOpen() && generation == startGeneration) {
           exchange.begin(200, Map.of("content-type", "text/event-stream"));
