--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -723,6 +723,7 @@
           return ctx.getStopAction(in);
         } else if (matched < INTERIM_PREFIX.length()) {
           conn.interimPossible = false;
+          rejectAmbiguous(conn, ResponseFramingRules.whyRejected(in, from, end));
           if (in.isComposite()) {
             byte[] bytes = new byte[in.remaining()];
             in.get(bytes);
@@ -741,6 +742,13 @@
       return ctx.getInvokeAction();
     }
 
+    private static void rejectAmbiguous(ClientConnection conn, String why) {
+      if (why != null) {
+        conn.invalid = new InvalidPart(ResponseFault.MALFORMED, "the response is not valid HTTP/1.1: " + why);
+        throw new IllegalStateException(why);
+      }
+    }
+
     /** The position after the blank line that ends a head, or -1 if the head is incomplete. */
     private static int endOfHead(Buffer in, int from) {
       for (int i = from + 3; i < in.limit(); i++) {
--- a/src/test/java/gapproxy/http/MalformedResponsesTest.java
+++ b/src/test/java/gapproxy/http/MalformedResponsesTest.java
@@ -267,6 +267,18 @@
     assertEquals(new Result(status, "", null), askForStream());
   }
 
+  /** Of two lengths the first was believed, and an unknown transfer coding was read until the connection ended. */
+  @ParameterizedTest
+  @ValueSource(strings = {"Content-Length: 5\r\nContent-Length: 9", "Content-Length: 9\r\nContent-Length: 5", "Content-Length: 5, 5",
+      "Content-Length: +5", "Content-Length: 0x5", "Content-Length:", "Content-Length : 5", " Content-Length: 5", "Transfer-Encoding: xchunked",
+      "Transfer-Encoding: gzip, chunked", "Transfer-Encoding : chunked", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"})
+  void ambiguousFramingFails(String fields) throws Exception {
+    for (int size : new int[] {Integer.MAX_VALUE, 1, 7}) {
+      writeBytes = size;
+      assertResponseFails("HTTP/1.1 200 OK\r\nX: a\r\n" + fields + "\r\n\r\nhello");
+    }
+  }
+
   @Test
   void validResponsesParseWithAnySegmentation() throws Exception {
     List<String> forms = List.of(VALID_RESPONSE,
