Move the check of response heads out of HttpClient

Change: ResponseHeadFilter, with the connection behind an interface of three calls; no behaviour changes. Result: MalformedResponsesTest, HttpClientRaceTest, GatewayFaultsTest, MemoryChargeReleaseTest and PlatformTest pass.

--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -105,7 +105,7 @@
   private static final Attribute<ClientConnection> CONNECTION =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("gapproxy.http.client");
 
-  private static final int MAX_HEAD_BYTES = 16 << 10;         // of a response
+  static final int MAX_HEAD_BYTES = 16 << 10;                 // of a response
   /** Memory of an open connection without traffic: transport and codec objects, and an incomplete head. */
   private static final int CONNECTION_BYTES = 12 << 10;
   /** Memory of a queued response part besides its bytes. */
@@ -358,7 +358,7 @@
     private void connect(Duration timeout) {
       openCount++;
       connectTimer = loop.after(timeout, () -> fail(Failure.NO_CONNECTION, "no connection within " + timeout.toMillis() + " ms"));
-      net.connect(address, () -> List.<Filter>of(new InterimResponseFilter(), ChunkedEncoding.installIn(new ResponseCodec(), HttpClient::lengthLimits),
+      net.connect(address, () -> List.<Filter>of(new ResponseHeadFilter(CONNECTION::get), ChunkedEncoding.installIn(new ResponseCodec(), HttpClient::lengthLimits),
           new ResponsePartFilter()), new Net.ConnectListener() {
         @Override
         public void connecting(Runnable cancel) {
@@ -552,7 +552,7 @@
   }
 
   /** A connection to a server. Fields are used on the loop unless noted otherwise. */
-  private final class ClientConnection {
+  private final class ClientConnection implements ResponseHeadFilter.Receiver {
     final InetSocketAddress address;
     final Connection<?> connection;
     HttpResponsePacket response;                              // the one being received; used on the reading thread
@@ -584,6 +584,21 @@
       retainedCharge = budget.newShare(MemoryUse.RESPONSE_IN, GUARANTEED_BYTES).newCharge();
     }
 
+    @Override
+    public boolean awaitsHead() {
+      return interimPossible;
+    }
+
+    @Override
+    public void finalHeadBegun() {
+      interimPossible = false;
+    }
+
+    @Override
+    public void headRejected(String why) {
+      invalid = new InvalidPart(ResponseFault.MALFORMED, "the response is not valid HTTP/1.1: " + why);
+    }
+
     /** Charges a part that was read, and pauses reading if too much is queued for the loop. Called on the reading thread. */
     void partQueued(int bytes) {
       queuedCharge.forceGrow(bytes);
@@ -692,74 +707,6 @@
     }
   }
 
-  /**
-   * Drops interim (1xx) responses ahead of the final one (RFC 9110, section 15.2). The codec would take the first of them for the final
-   * response, and would have no request to match the next one with. Heads are passed on complete and in one array, because the codec
-   * fails to recognize a transfer coding in upper case in a composite buffer.
-   */
-  private static final class InterimResponseFilter extends BaseFilter {
-    private static final String INTERIM_PREFIX = "HTTP/1.1 1";
-
-    @Override
-    public NextAction handleRead(FilterChainContext ctx) {
-      Buffer in = ctx.getMessage();
-      ClientConnection conn = CONNECTION.get(ctx.getConnection());
-      while (conn != null && conn.interimPossible) {
-        int from = in.position();
-        int matched = 0;
-        while (matched < Math.min(INTERIM_PREFIX.length(), in.remaining()) && in.get(from + matched) == INTERIM_PREFIX.charAt(matched)) {
-          matched++;
-        }
-        if (matched == in.remaining()) {
-          return ctx.getStopAction(in);                       // not enough bytes to decide
-        } else if (matched < INTERIM_PREFIX.length() - 1) {
-          conn.interimPossible = false;                       // not HTTP/1.1; the codec reports invalid data
-          break;
-        }
-        int end = endOfHead(in, from);
-        if (end < 0 && in.remaining() > MAX_HEAD_BYTES) {
-          throw new IllegalStateException("response head exceeds the maximum length");
-        } else if (end < 0) {
-          return ctx.getStopAction(in);
-        } else if (matched < INTERIM_PREFIX.length()) {
-          conn.interimPossible = false;
-          rejectAmbiguous(conn, ResponseFramingRules.whyRejected(in, from, end));
-          if (in.isComposite()) {
-            byte[] bytes = new byte[in.remaining()];
-            in.get(bytes);
-            ctx.setMessage(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes));
-          }
-          break;
-        }
-        in.position(end);
-        if (!in.hasRemaining()) {
-          in.tryDispose();
-          return ctx.getStopAction();
-        }
-        in = in.slice();                                      // the codec counts from the start of the buffer
-        ctx.setMessage(in);
-      }
-      return ctx.getInvokeAction();
-    }
-
-    private static void rejectAmbiguous(ClientConnection conn, String why) {
-      if (why != null) {
-        conn.invalid = new InvalidPart(ResponseFault.MALFORMED, "the response is not valid HTTP/1.1: " + why);
-        throw new IllegalStateException(why);
-      }
-    }
-
-    /** The position after the blank line that ends a head, or -1 if the head is incomplete. */
-    private static int endOfHead(Buffer in, int from) {
-      for (int i = from + 3; i < in.limit(); i++) {
-        if (in.get(i) == '\n' && in.get(i - 1) == '\r' && in.get(i - 2) == '\n' && in.get(i - 3) == '\r') {
-          return i + 1;
-        }
-      }
-      return -1;
-    }
-  }
-
   /**
    * The response codec. Bytes that arrive while no response is expected close the connection, even an incomplete line: they would be taken
    * for the beginning of the next response.
