Soak servers that turn long requests away before they have read them

Change: SIZES_DECLINED_EARLY, drawn apart from the other kinds: proxies accept with small buffers, turn requests over 2 KiB away by their head, read the rest of those over 192 KiB 0.3 s later, and count any request that comes behind one.

--- a/src/main/java/gapproxy/soak/FaultProxy.java
+++ b/src/main/java/gapproxy/soak/FaultProxy.java
@@ -20,6 +20,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * A TCP proxy that injects network faults. It listens on one port for each hop between two processes and applies the fault mode
@@ -51,7 +53,12 @@
      * Delays the establishment of new connections: they forward nothing at first, and nothing at all if the client closes them
      * during the delay.
      */
-    CONNECT_LATE
+    CONNECT_LATE,
+    /**
+     * Turns long requests away as their heads arrive and reads the rest later. Applies to new connections, for as long as they are open; their
+     * small buffers leave most of such a request at its gateway.
+     */
+    DECLINE_EARLY
   }
 
   private static final int BUFFER_BYTES = 16 << 10, MAX_CHUNKS_PER_READ = 16;
@@ -65,13 +72,19 @@
   // time without new bytes after which mode JUNK_AT_REST takes a connection for idle
   private static final long IDLE_NANOS = 50_000_000L;
   private static final long MAX_CONNECT_DELAY_NANOS = 1_000_000_000L;
+  // In mode DECLINE_EARLY: the buffer of a connection, the length from which a request is turned away, that from which the rest is read late,
+  // and how late
+  private static final int SMALL_BUFFER_BYTES = 4 << 10, USUAL_BUFFER_BYTES = 128 << 10, LONG_BODY_BYTES = 2 << 10, LATE_BODY_BYTES = 192 << 10;
+  private static final long LATE_READ_NANOS = 300_000_000L;
+  private static final Pattern CONTENT_LENGTH = Pattern.compile("(?i)\r\ncontent-length: *(\\d+)\r\n");
+  private static final String DECLINED = "HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
 
   private final Selector selector = Selector.open();
   private final Set<Hop> hops = ConcurrentHashMap.newKeySet();
   private final Thread thread = new Thread(this::run, "proxy");
   // keyed by the proxy's local port on the side of the server
   private final Map<Integer, Connection> silencedByServerPort = new ConcurrentHashMap<>();
-  private final AtomicLong injectedFaults = new AtomicLong();
+  private final AtomicLong injectedFaults = new AtomicLong(), requestsBehindUnread = new AtomicLong();
   private final SplittableRandom random;
   private volatile boolean closing;
   private volatile Throwable failure;
@@ -141,6 +154,11 @@
     return injectedFaults.get();
   }
 
+  /** Requests that came on a connection whose earlier request had been turned away while most of it was still to be written. */
+  long requestsBehindUnread() {
+    return requestsBehindUnread.get();
+  }
+
   /** The longest iteration of the event loop: the delay that the proxy may have added by itself. */
   long longestIterationMs() {
     return longestIterationNanos / 1_000_000;
@@ -182,11 +200,16 @@
     boolean silent, answersLost;  // both permanent
     volatile boolean closedByGateway;  // a silenced connection's server isn't told
     long establishedAt;  // nothing is forwarded before this time
+    final boolean declinesEarly;
+    // Of a request that was turned away: bytes that are still to be read, and from when on
+    long bytesToDiscard, discardFrom;
+    boolean leftUnread;  // a request was turned away while most of it was still to be written
 
     Connection(Hop hop, SocketChannel client) throws IOException {
       this.hop = hop;
       this.client = client;
       server = SocketChannel.open();
+      declinesEarly = hop.appliedMode == Mode.DECLINE_EARLY;
       for (SocketChannel c : List.of(client, server)) {
         c.configureBlocking(false);
         c.setOption(StandardSocketOptions.TCP_NODELAY, true);
@@ -264,6 +287,10 @@
     if (now != hop.appliedMode) {
       Mode before = hop.appliedMode;
       hop.appliedMode = now;
+      if (now == Mode.DECLINE_EARLY || before == Mode.DECLINE_EARLY) {
+        // New connections inherit it from their first packet on, so that their gateways' buffers stay small as well.
+        hop.listener.setOption(StandardSocketOptions.SO_RCVBUF, now == Mode.DECLINE_EARLY ? SMALL_BUFFER_BYTES : USUAL_BUFFER_BYTES);
+      }
       if (now == Mode.RESET || before == Mode.SILENT) {
         injectedFaults.addAndGet(hop.connections.size());
         List.copyOf(hop.connections).forEach(Connection::reset);
@@ -325,6 +352,8 @@
       if (key.isValid() && key.isReadable()) {
         if (l.silent && key.channel() == l.client) {
           discard(l, key);
+        } else if (l.bytesToDiscard > 0 && key.channel() == l.client) {
+          discardRest(l, key);
         } else if (l.stalled()) {
           injectedFaults.incrementAndGet();
           key.interestOps(0);  // stop reading: bytes stay in the socket buffer
@@ -351,6 +380,51 @@
     }
   }
 
+  /** Reads the rest of a request that was turned away, once it is time for that. */
+  private void discardRest(Connection connection, SelectionKey key) throws IOException {
+    if (System.nanoTime() < connection.discardFrom) {
+      key.interestOps(0);
+      return;
+    }
+    int count = connection.client.read(ByteBuffer.allocate((int) Math.min(BUFFER_BYTES, connection.bytesToDiscard)));
+    if (count < 0) {
+      connection.reset();
+    } else {
+      connection.bytesToDiscard -= count;
+    }
+  }
+
+  private void resumeDiscarding(Connection connection) {
+    SelectionKey key = connection.client.keyFor(selector);
+    if (connection.bytesToDiscard > 0 && key != null && key.isValid() && System.nanoTime() >= connection.discardFrom) {
+      key.interestOps(SelectionKey.OP_READ);
+    }
+  }
+
+  /**
+   * Turns a long request away if its head has just been read.
+   *
+   * @return whether the bytes belong to such a request and are not to be forwarded
+   */
+  private boolean declineEarly(Connection connection, ByteBuffer bytes) throws IOException {
+    if (!connection.declinesEarly || connection.upstream.bytesRead > connection.requestBytesAtLastAnswer) {
+      return false;
+    }
+    String text = StandardCharsets.ISO_8859_1.decode(bytes.duplicate()).toString();
+    int headBytes = text.indexOf("\r\n\r\n") + 4;
+    Matcher length = CONTENT_LENGTH.matcher(text);
+    if (headBytes < 4 || !text.startsWith("POST /v1/") || !length.find() || Long.parseLong(length.group(1)) < LONG_BODY_BYTES) {
+      return false;
+    }
+    long bodyBytes = Long.parseLong(length.group(1));
+    connection.bytesToDiscard = headBytes + bodyBytes - bytes.remaining();
+    connection.leftUnread = bodyBytes >= LATE_BODY_BYTES;
+    connection.discardFrom = System.nanoTime() + (connection.leftUnread ? LATE_READ_NANOS : 0);
+    injectedFaults.incrementAndGet();
+    write(connection, connection.downstream, ByteBuffer.wrap(DECLINED.getBytes(StandardCharsets.US_ASCII)));
+    return true;
+  }
+
   /** Whether a connection is silenced, and if so, whether its gateway has closed it. */
   enum SilenceState { NONE, OPEN, CLOSED_BY_GATEWAY }
 
@@ -411,6 +485,13 @@
       return n;
     }
     connection.lastReadAt = System.nanoTime();
+    if (direction == connection.upstream && connection.leftUnread) {
+      requestsBehindUnread.incrementAndGet();
+      connection.leftUnread = false;
+    }
+    if (direction == connection.upstream && declineEarly(connection, buffer.duplicate().flip())) {
+      return 0;
+    }
     direction.bytesRead += n;
     if (direction == connection.downstream) {
       connection.requestBytesAtLastAnswer = connection.upstream.bytesRead;
@@ -425,6 +506,7 @@
 
   /** Writes the chunks that are due, forwards the end of input, and resets the connection where the mode asks for it. */
   private void forward(Connection connection) {
+    resumeDiscarding(connection);
     if (connection.idle() && connection.hop.mode != Mode.CUT_AFTER_REQUEST) {
       return;
     }
--- a/src/main/java/gapproxy/soak/Soak.java
+++ b/src/main/java/gapproxy/soak/Soak.java
@@ -39,6 +39,7 @@
       OLD_DISCOVERY_OPEN = Duration.ofMillis(1500);
   private static final Duration STOP_NOTICE_DELAY = Duration.ofMillis(300), RECOVERY_TIME = Duration.ofSeconds(1);
   // for an event that is written slowly, and the rest of its stream
+  private static final double EARLY_DECLINE_SHARE = 0.7;
   private static final Duration ODD_STREAM_TIME = Duration.ofSeconds(12);
   private static final Duration SETTLE_TIME = Duration.ofMillis(2700), REFUSAL_DELAY = Duration.ofMillis(700);
   private static final Duration SINGLE_SILENCE_INTERVAL = Duration.ofMillis(150), MAX_HARNESS_DELAY = Duration.ofMillis(300);
@@ -173,6 +174,9 @@
     });
     List<String> violations = new ArrayList<>(verdict[0].violations());
     violations.addAll(resources);
+    if (proxy.requestsBehindUnread() > 0) {
+      violations.add(proxy.requestsBehindUnread() + " requests came behind one that had not been written");
+    }
     long shimFaults = shimInjected();
     if (shim != null && shimFaults == 0) {
       violations.add("the shim injected no fault");
@@ -364,6 +368,10 @@
   private void beginSizeTrouble(Trouble trouble) {
     switch (trouble.kind()) {
       case SIZES_LONG_BODIES -> setDuring(trouble, share -> clients.longBodyShare = share);
+      case SIZES_DECLINED_EARLY -> {
+        setDuring(trouble, share -> clients.longBodyShare = share);
+        declineEarly(trouble.span());
+      }
       case SIZES_SLOW_READERS -> setDuring(trouble, share -> clients.slowReaderShare = share);
       case SIZES_LONG_EVENTS -> setDuring(trouble, share -> backends.longEvents = share);
       default -> endpoints.stream().filter(f -> f.open && sizeRandom.nextDouble() < trouble.share())
@@ -371,6 +379,17 @@
     }
   }
 
+  /** Doesn't mark the hops as troubled: what is not turned away is forwarded at once. */
+  private void declineEarly(Duration span) {
+    for (SoakBackends.ModelServer m : backends.servers) {
+      for (int g = 0; g < plan.gateways(); g++) {
+        if (sizeRandom.nextDouble() < EARLY_DECLINE_SHARE) {
+          setModeFor(serverHops[g][m.number], Mode.DECLINE_EARLY, span);
+        }
+      }
+    }
+  }
+
   /**
    * Opens connections with unfinished long bodies. They bypass the proxy, since tens of megabytes would delay the other traffic
    * there.
--- a/src/main/java/gapproxy/soak/SoakPlan.java
+++ b/src/main/java/gapproxy/soak/SoakPlan.java
@@ -56,7 +56,9 @@
     /** Clients stop reading for up to 1.7 seconds. */
     SIZES_SLOW_READERS,
     /** Clients stop one byte before the end of a body of maximum length and keep the connection open. */
-    SIZES_UNFINISHED_BODIES;
+    SIZES_UNFINISHED_BODIES,
+    /** Request bodies of up to the longest size, which some servers turn away before they have read them. */
+    SIZES_DECLINED_EARLY;
 
     boolean affectsSizes() {
       return name().startsWith("SIZES_");
@@ -165,6 +167,7 @@
       }
     }
     troubles.addAll(drawSizeTroubles(seed, length));
+    troubles.addAll(drawEarlyDeclines(seed, length));
     troubles.sort(Comparator.comparing(Trouble::at));
     return new SoakPlan(seed, gateways, 6, 6, length, settings, Peers.draw(seed), List.copyOf(troubles));
   }
@@ -174,7 +177,7 @@
    */
   private static List<Trouble> drawSizeTroubles(long seed, Duration length) {
     SplittableRandom random = new SplittableRandom(seed + 6);
-    List<Kind> kinds = Stream.of(Kind.values()).filter(Kind::affectsSizes).toList();
+    List<Kind> kinds = Stream.of(Kind.values()).filter(kind -> kind.affectsSizes() && kind != Kind.SIZES_DECLINED_EARLY).toList();
     List<Trouble> troubles = new ArrayList<>();
     for (Duration at = WARM_UP; at.compareTo(length.minus(COOL_DOWN)) < 0; at = at.plus(TROUBLE_INTERVAL)) {
       for (Kind kind : kinds) {
@@ -187,6 +190,19 @@
     return troubles;
   }
 
+  /** Draws the faults of one more kind, apart from the others for the same reason. */
+  private static List<Trouble> drawEarlyDeclines(long seed, Duration length) {
+    SplittableRandom random = new SplittableRandom(seed + 12);
+    List<Trouble> troubles = new ArrayList<>();
+    for (Duration at = WARM_UP; at.compareTo(length.minus(COOL_DOWN)) < 0; at = at.plus(TROUBLE_INTERVAL)) {
+      if (random.nextDouble() < SIZE_TROUBLE_SHARE) {
+        troubles.add(new Trouble(Kind.SIZES_DECLINED_EARLY, at.plusMillis(random.nextInt(800)), Duration.ofMillis(1000 + random.nextInt(2000)),
+            0.1 + 0.3 * random.nextDouble()));
+      }
+    }
+    return troubles;
+  }
+
   /** Limit of resident memory of each gateway, in MB. */
   int memoryMb() {
     return MEMORY_MB[new SplittableRandom(seed + 7).nextInt(MEMORY_MB.length)];
--- a/src/test/java/gapproxy/soak/SoakTest.java
+++ b/src/test/java/gapproxy/soak/SoakTest.java
@@ -167,6 +167,34 @@
     }
   }
 
+  private static SoakPlan earlyDeclinePlan() {
+    SoakPlan.Peers peers = new SoakPlan.Peers(true, true, true, Duration.ofMillis(200), 0.06, Duration.ofMillis(1500), 0, 0);
+    return new SoakPlan(5, 3, 6, 6, Duration.ofSeconds(9), SETTINGS, peers, List.of(trouble(Kind.SIZES_DECLINED_EARLY, 500, 8000, 0.5),
+        trouble(Kind.CLIENTS_BURST, 500, 8000, 0.5)));
+  }
+
+  @Test
+  @Execution(ExecutionMode.CONCURRENT)
+  void nothingIsFoundWhileServersTurnLongRequestsAwayBeforeTheyHaveReadThem() throws Exception {
+    Soak.Result result = run(earlyDeclinePlan(), Set.of());
+    assertEquals(List.of(), result.violations(), result.toString());
+    assertTrue(result.passed(), result.toString());
+    assertTrue(result.injectedFaults() > 0, "no request was turned away: " + result);
+  }
+
+  /** A fault of issue 71: connections are used again before their request was written. */
+  @Test
+  @Execution(ExecutionMode.CONCURRENT)
+  void plantedReuseOfUnwrittenConnectionsIsFound() throws Exception {
+    Path classes = SourceMutation.compile(dir, List.of(
+        new SourceMutation("http/HttpClient.java", "      if (!requestWritten) {\n        connection.terminateSilently();",
+            "      if (!requestWritten && closed) {\n        connection.terminateSilently();")));
+    try (Soak soak = new Soak(earlyDeclinePlan(), dir, "", Set.of())) {
+      soak.overrideGatewayClasses(classes);
+      assertFound(soak.run(), List.of(), List.of("came behind one that had not been written"));
+    }
+  }
+
   /** Nothing is released when an answer breaks off after its first token. */
   @Test
   @Execution(ExecutionMode.CONCURRENT)
