--- a/review/rig-2/Case6.java
+++ b/review/rig-2/Case6.java
@@ -30,16 +30,17 @@
         }
       }
       Load load = new Load(rig);
-      double end = rig.now() + 90_000;
+      double end = rig.now() + 100_000, large = rig.now() + 6000;
       for (int i = 0; i < 3; i++) {
         load.start(gateways.get(i), i, 12, end, 100, (sent, random) -> {
           sent.kind = random.nextInt(100) < 43 ? "booking" : "trail-ask";
           sent.deadlineMs = sent.kind.equals("booking") ? 6000 + random.nextInt(6000) : 3750 + random.nextInt(3750);
-          String body = Load.body(100_000 + random.nextInt(150_000));
+          // Small ones first, until the gateways have got warm.
+          String body = Load.body(rig.now() < large ? 5000 : 100_000 + random.nextInt(150_000));
           return Rig.request(sent.id, sent.kind, "town", sent.deadlineMs, body.length() / 4, body);
         });
       }
-      Rig.sleep(9000);
+      Rig.sleep(12_000);
       for (int episode = 0; episode < 4 && doubles(rig).isEmpty(); episode++) {
         if (trouble) {
           rig.log("the links of the racks run 7 times slower");
