--- a/review/rig-2/Case7.java
+++ b/review/rig-2/Case7.java
@@ -5,7 +5,7 @@
 
 /** A fleet with sixteen times the model servers, the traffic of a gateway as usual: reqs get their final answers after their time, or none. */
 final class Case7 {
-  static final int USUAL = 200, LARGE = 3200, REQS_PER_SECOND = 7, SECONDS = 40;
+  static final int USUAL = 200, LARGE = 3200, REQS_PER_SECOND = 12, SECONDS = 40;
 
   public static void main(String[] args) throws Exception {
     int size = "0".equals(System.getenv("TROUBLE")) ? USUAL : LARGE;
@@ -13,10 +13,9 @@
     try (Rig rig = new Rig(Path.of(args[0]).toAbsolutePath().normalize(), Path.of(args[1]))) {
       rig.fleet(size, 3);
       rig.agent = rig.new Agent();
-      String settings = Rig.withClasses(Rig.settings("read_like", "all", 5000, 7500, 1000, 2000, true, true, true, true, true, true)
+      String settings = Rig.withClasses(Rig.settings("read_like", "all", 5000, 5000, 1000, 250, true, true, true, true, true, true)
               .replace("\"balancers\":2", "\"balancers\":100").replace("[\"a\",\"b\"]", "[\"a\",\"b\",\"c\"]"),
-          Rig.clazz("draft", "read_like", "all", 5000, 1500, 7500, 3) + "," + Rig.clazz("digest", "read_like", "all", 5000, 2000, 8000, 1) + ","
-              + Rig.clazz("tweak", "read_like", "all", 5000, 800, 4000, 1));
+          Rig.clazz("quick-alert", "read_like", "all", 5000, 1000, 5000, 3) + "," + Rig.clazz("notice-rework", "read_like", "all", 5000, 2500, 10_000, 2));
       Rig.Gateway gateway = rig.new Gateway("n0", settings, 512);
       if (!gateway.start()) {
         System.out.println("the gateway is not ready");
@@ -32,8 +31,8 @@
         Rig.sleep(-Math.log(1 - random.nextDouble()) * 1000 / REQS_PER_SECOND);
         int draw = random.nextInt(100);
         Load.Sent sent = new Load.Sent();
-        sent.kind = draw < 50 ? "draft" : draw < 62 ? "digest" : "tweak";
-        sent.deadlineMs = (int) ((sent.kind.equals("draft") ? 7500 : sent.kind.equals("digest") ? 8000 : 4000) * (0.5 + 0.5 * random.nextDouble()));
+        sent.kind = draw < 75 ? "quick-alert" : "notice-rework";
+        sent.deadlineMs = (int) ((draw < 75 ? 5000 : 10_000) * (0.5 + 0.5 * random.nextDouble()));
         sent.id = rig.newId();
         String body = Load.body(4000 + random.nextInt(12_000));
         String text = Rig.request(sent.id, sent.kind, "town", sent.deadlineMs, body.length() / 4, body);
