--- a/review/rig-2/Case10.java
+++ b/review/rig-2/Case10.java
@@ -3,7 +3,7 @@
 import java.util.*;
 import java.util.concurrent.atomic.*;
 
-/** Some streams come spoilt by an event that never ends. Their clients are left waiting for as long as the noise goes on. */
+/** Some streams come spoilt by an event that never ends and is soon longer than any body may be. Their clients are left waiting for as long as the noise goes on. */
 final class Case10 {
   static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -45,7 +45,7 @@
             conn.chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"");
             while (!conn.closed && rig.now() < end + 12_000) {
               Rig.sleep(100);
-              conn.chunk("~noise~".repeat(10));
+              conn.chunk("~noise~~".repeat(4096));
             }
             return true;
           };
