--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -29,11 +29,11 @@
     this.root = root;
     this.tmp = Files.createTempDirectory("rig2");
     this.record = new PrintWriter(Files.newBufferedWriter(record), true);
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> gateways.forEach(g -> {
-      if (g.process != null) {
-        g.process.destroyForcibly();
-      }
-    })));
+    // Also where a case ends early or is ended from outside.
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+      gateways.forEach(Gateway::kill);
+      deleteFolder();
+    }));
   }
 
   /** Milliseconds since the start of the run. */
@@ -82,12 +82,19 @@
     if (agent != null) {
       agent.shut();
     }
+    deleteFolder();
+    record.flush();
+  }
+
+  private void deleteFolder() {
+    if (!Files.exists(tmp)) {
+      return;
+    }
     try (var walk = Files.walk(tmp)) {
       walk.sorted(Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
-    } catch (IOException e) {
+    } catch (IOException | UncheckedIOException e) {
       // the folder is a temporary one
     }
-    record.flush();
   }
 
   // ---- HTTP
