End streams whose event never ends in the time of a silent server

Cause: an event that is being written when the time for the next one is over may be completed; only the rests between its bytes were bounded, not its length.

Change: what is longer than a body may be (PROTOCOL: 256 KiB) does not count as being written. EventSplitter counts the bytes, StreamSilencePolicy decides, and StreamWatch schedules the end anew where it comes sooner.

--- a/src/main/java/gapproxy/engine/EngineClient.java
+++ b/src/main/java/gapproxy/engine/EngineClient.java
@@ -84,7 +84,7 @@
      *
      * @param content what the last read brought
      */
-    void readDelivered(StreamContent content);
+    void readDelivered(StreamContent content, long unfinishedBytes);
 
     /** The stream ended regularly. */
     void done();
@@ -302,7 +302,7 @@
       try {
         StreamContent content = events.feed(bytes);
         if (!finished) {
-          listener.readDelivered(content);
+          listener.readDelivered(content, events.pendingBytes());
         }
       } catch (IllegalStateException e) {
         if (!finished) {
--- a/src/main/java/gapproxy/gateway/AttemptLog.java
+++ b/src/main/java/gapproxy/gateway/AttemptLog.java
@@ -87,6 +87,7 @@
         .addKeyValue("path", attempt.path).addKeyValue("server", attempt.server.address()).addKeyValue("cause", activity.silence())
         .addKeyValue("last_event_ms", millisSince(activity.lastEvent().readAt())).addKeyValue("last_byte_ms", millisSince(activity.lastReadAt()))
         .addKeyValue("held_up_ms", activity.lastEvent().readAt().minus(activity.lastEvent().earliest()).toMillis())
+        .addKeyValue("unfinished_bytes", activity.unfinishedBytes())
         .addKeyValue("client_paused_ms", activity.pausedTotal().toMillis()).addKeyValue("end_delay_ms", endDelay.toMillis())
         .addKeyValue("server_heard_ms", millisSince(servers.lastReceivedAt(attempt.server.address())))
         .addKeyValue("held", describeHeld(attempt.req)).log("answer ended, as its server is silent");
--- a/src/main/java/gapproxy/gateway/EngineServers.java
+++ b/src/main/java/gapproxy/gateway/EngineServers.java
@@ -79,8 +79,8 @@
           }
 
           @Override
-          public void readDelivered(StreamContent content) {
-            listener.readDelivered(content);
+          public void readDelivered(StreamContent content, long unfinishedBytes) {
+            listener.readDelivered(content, unfinishedBytes);
           }
 
           @Override
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -665,11 +665,11 @@
     }
 
     @Override
-    public void readDelivered(StreamContent content) {
+    public void readDelivered(StreamContent content, long unfinishedBytes) {
       if (!attempt.answerBegun || !attempt.inFlight()) {
         return;
       }
-      streamWatch.received(attempt, content);
+      streamWatch.received(attempt, content, unfinishedBytes);
       if (!attempt.flushPending) {
         attempt.flushPending = true;
         attemptsToFlush.add(attempt);
--- a/src/main/java/gapproxy/gateway/GatewaySettings.java
+++ b/src/main/java/gapproxy/gateway/GatewaySettings.java
@@ -26,7 +26,7 @@
   static GatewaySettings of(Config c) {
     return new GatewaySettings(c.name(), c.settings(), c.groups().stream().map(Config.Group::name).toList(), c.zones(),
         c.kinds().stream().map(Config.Kind::name).toList(), Config.ofMillis(c.rules().releaseWithinMs()),
-        Config.ofMillis(c.limits().longestAnswerMs()), new SilenceLimit(Config.ofMillis(c.limits().tokenGapMs()), SilenceLimit.Side.END_AFTER),
+        Config.ofMillis(c.limits().longestAnswerMs()), new SilenceLimit(Config.ofMillis(c.limits().tokenGapMs()), SilenceLimit.Side.END_AFTER, Long.MAX_VALUE),
         Config.ofMillis(c.limits().stopMs()),
         c.limits().openReqs(), false);
   }
--- a/src/main/java/gapproxy/gateway/Req.java
+++ b/src/main/java/gapproxy/gateway/Req.java
@@ -28,6 +28,8 @@
     final Duration sendDeadline;
     HttpClient.Call call;
     Loop.Timer timeoutTimer;
+    /** When the silence of its server is checked next; null until the answer has begun. */
+    Duration silenceCheckAt;
     Outcome outcome;
     /** Pieces of the answer that arrived before its first token. */
     final List<Object> bufferedPieces = new ArrayList<>();
--- a/src/main/java/gapproxy/gateway/Servers.java
+++ b/src/main/java/gapproxy/gateway/Servers.java
@@ -80,8 +80,9 @@
      * The chunks of one network read have all been delivered. There may be none, since a chunk may take several reads.
      *
      * @param content what the read brought
+     * @param unfinishedBytes length of the event or comment that has come in part by now, 0 if there is none
      */
-    void readDelivered(StreamContent content);
+    void readDelivered(StreamContent content, long unfinishedBytes);
 
     /** The stream has ended regularly. */
     void done();
--- a/src/main/java/gapproxy/gateway/StreamActivity.java
+++ b/src/main/java/gapproxy/gateway/StreamActivity.java
@@ -30,6 +30,7 @@
   private Duration lastPartAt;
   private boolean inEvent;
   private Duration longestRestInEvent = Duration.ZERO;
+  private long unfinishedBytes;
   private boolean commentCounts;
   private Silence silence = Silence.AFTER_EVENT;
   private Duration pausedAt;
@@ -45,10 +46,12 @@
   /**
    * Records what one read brought.
    *
+   * @param unfinishedBytes length of the event or comment that has come in part by now, 0 if there is none
    * @param policy decides whether a comment that is begun counts as something that is being written
    */
-  void received(StreamContent content, Arrival arrival, StreamSilencePolicy policy) {
+  void received(StreamContent content, long unfinishedBytes, Arrival arrival, StreamSilencePolicy policy) {
     lastReadAt = arrival.readAt();
+    this.unfinishedBytes = unfinishedBytes;
     switch (content) {
       case EVENT -> eventReceived(arrival);
       case EVENT_PART -> {
@@ -134,6 +137,11 @@
     return longestRestInEvent;
   }
 
+  /** Length of the event or comment that has come in part; 0 if there is none. */
+  long unfinishedBytes() {
+    return unfinishedBytes;
+  }
+
   /** When bytes of any kind were read last. */
   Duration lastReadAt() {
     return lastReadAt;
--- a/src/main/java/gapproxy/gateway/StreamSilencePolicy.java
+++ b/src/main/java/gapproxy/gateway/StreamSilencePolicy.java
@@ -8,7 +8,8 @@
  * <p>The time runs from the last whole event. Comments and blank lines are no events and change nothing. Bytes of an event that is not
  * complete don't start the time anew; but an event that is still being written when the time is over may be completed. It counts as
  * being written while no rest between its bytes is much longer than the longest before. If that allows an end past the limit, where the end
- * would be too late for a silent server in any case, the rest may take the whole limit: only the bytes can be counted from there on.
+ * would be too late for a silent server in any case, the rest may take the whole limit: only the bytes can be counted from there on. What
+ * is longer than an answer's body can be never ends, and nothing of it counts as being written.
  *
  * <p>Where the client has to see the end by a time, the answer is ended earlier by a reserve. An event may have been sent before it is read: by
  * the time that bytes are on their way, and by that of a hold-up of the process. The time is counted from the earliest moment, as far as
@@ -25,11 +26,13 @@
   private static final Duration REST_TOLERANCE = Duration.ofMillis(500);
 
   private final Duration limit;
+  private final long maxUnfinishedBytes;
   private final Duration endAfter;
   private final Duration endAfterRead;
 
   StreamSilencePolicy(SilenceLimit limit) {
     this.limit = limit.time();
+    maxUnfinishedBytes = limit.maxUnfinishedBytes();
     boolean early = limit.side() == SilenceLimit.Side.END_BEFORE;
     endAfter = early ? limit.time().minus(RESERVE) : limit.time();
     endAfterRead = early ? limit.time().minus(LARGEST_RESERVE) : limit.time();
@@ -52,7 +55,8 @@
     Duration earliest = latest(activity.lastEvent().earliest(), resumedAt);
     Duration read = latest(activity.lastEvent().readAt(), resumedAt);
     Duration endAt = latest(earliest.plus(endAfter), read.plus(endAfterRead));
-    return activity.lastPartAt() == null ? endAt : latest(endAt, endOfRest(activity, earliest.plus(limit)));
+    boolean mayBeCompleted = activity.lastPartAt() != null && activity.unfinishedBytes() <= maxUnfinishedBytes;
+    return mayBeCompleted ? latest(endAt, endOfRest(activity, earliest.plus(limit))) : endAt;
   }
 
   /** Until when a server that writes an event or a comment may rest before its next bytes. */
--- a/src/main/java/gapproxy/gateway/StreamWatch.java
+++ b/src/main/java/gapproxy/gateway/StreamWatch.java
@@ -33,9 +33,18 @@
     schedule(attempt, policy.endAt(attempt.activity, loop.now()));
   }
 
-  /** Records what one read brought of a watched answer. */
-  void received(Req.Attempt attempt, StreamContent content) {
-    attempt.activity.received(content, arrival(attempt), policy);
+  /**
+   * Records what one read brought of a watched answer.
+   *
+   * @param unfinishedBytes length of the event or comment that has come in part, 0 if there is none
+   */
+  void received(Req.Attempt attempt, StreamContent content, long unfinishedBytes) {
+    attempt.activity.received(content, unfinishedBytes, arrival(attempt), policy);
+    Duration endAt = policy.endAt(attempt.activity, loop.now());
+    if (endAt.compareTo(attempt.silenceCheckAt) < 0) {
+      attempt.timeoutTimer.cancel();
+      schedule(attempt, endAt);
+    }
   }
 
   /** When the data that is being handled may have been sent: before a hold-up of the process, and before it was on its way. */
@@ -47,6 +56,7 @@
   }
 
   private void schedule(Req.Attempt attempt, Duration at) {
+    attempt.silenceCheckAt = at;
     // An event may have arrived while the process was held up, so what can be read is read before the decision.
     attempt.timeoutTimer = loop.after(at.minus(loop.now()), () -> {
       Duration now = loop.now();
--- a/src/main/java/gapproxy/platform/EventSplitter.java
+++ b/src/main/java/gapproxy/platform/EventSplitter.java
@@ -38,6 +38,8 @@
   private static final String DATA_FIELD = "data:";
   private ByteArrayOutputStream buffer = new ByteArrayOutputStream();
   private final Listener listener;
+  // Length of the incomplete event or comment, with the parts that have been forwarded.
+  private long unfinishedBytes;
   // Length of the current line, without a line feed, and its first and last byte.
   private int lineBytes;
   private byte firstLineByte, lastLineByte;
@@ -71,7 +73,7 @@
     for (int i = 0; i < bytes.length; i++) {
       byte b = bytes[i];
       if (b == '\n') {
-        buffer.write(bytes, from, i + 1 - from);
+        append(bytes, from, i + 1);
         from = i + 1;
         endLine();
       } else {
@@ -80,7 +82,7 @@
         lineBytes++;
       }
     }
-    buffer.write(bytes, from, bytes.length - from);
+    append(bytes, from, bytes.length);
     eventBytesReceived |= from < bytes.length && firstLineByte != ':' && !mayBeBlankLine();
     checkBeginning();
     forwardLongEvent();
@@ -95,6 +97,11 @@
     return continuesComment ? StreamContent.COMMENT_PART : StreamContent.COMMENTS;
   }
 
+  private void append(byte[] bytes, int from, int to) {
+    buffer.write(bytes, from, to - from);
+    unfinishedBytes += to - from;
+  }
+
   private void endLine() {
     boolean blank = lineBytes == 0 || lineBytes == 1 && lastLineByte == '\r';
     boolean comment = isInComment();
@@ -167,6 +174,11 @@
     return insideBlock || lineBytes > 0 && !isInComment();
   }
 
+  /** Length of the event or comment that has come in part, including what was forwarded of it; 0 if there is none. */
+  long unfinishedBytes() {
+    return unfinishedBytes;
+  }
+
   /** Memory in use by the buffer, in bytes. */
   int memoryBytes() {
     // The buffer's capacity may be twice its content.
@@ -184,6 +196,7 @@
   private void completeEvent() {
     insideBlock = false;
     eventCompleted = true;
+    unfinishedBytes = 0;
     byte[] bytes = takeBuffer();
     if (partForwarded) {
       partForwarded = false;
@@ -197,6 +210,7 @@
 
   private void completeComment() {
     commentCompleted = true;
+    unfinishedBytes = 0;
     byte[] bytes = takeBuffer();
     if (partForwarded) {
       partForwarded = false;
--- a/src/main/java/gapproxy/platform/PlatformNode.java
+++ b/src/main/java/gapproxy/platform/PlatformNode.java
@@ -29,8 +29,10 @@
   private static final int RESERVED_DESCRIPTORS = 40;
   // The protocol allows closing a connection on which a client has sent no complete req within this time.
   private static final Duration FIRST_REQ_TIMEOUT = Duration.ofMillis(2000);
-  // A client must not be left waiting for longer after a running server's last event: 5 s, and 50 ms on sockets.
-  private static final SilenceLimit SILENCE_LIMIT = new SilenceLimit(Duration.ofMillis(5050), SilenceLimit.Side.END_BEFORE);
+  // A client must not be left waiting for longer after a running server's last event: 5 s, and 50 ms on sockets. An event that is being
+  // written then is part of a body, and no longer than one.
+  private static final SilenceLimit SILENCE_LIMIT = new SilenceLimit(Duration.ofMillis(5050), SilenceLimit.Side.END_BEFORE,
+      Protocol.MAX_BODY_BYTES);
   // After SIGTERM, the process is not killed before this time has passed, or the longest time budget if that is shorter.
   private static final Duration KILL_DELAY = Duration.ofSeconds(3);
   // Where clients resume broken streams, open streams are ended this long before the earliest possible kill.
--- a/src/main/java/gapproxy/platform/PlatformServers.java
+++ b/src/main/java/gapproxy/platform/PlatformServers.java
@@ -162,7 +162,7 @@
       }
       try {
         StreamContent content = events.feed(bytes);
-        listener.readDelivered(content);
+        listener.readDelivered(content, events.unfinishedBytes());
       } catch (IllegalStateException e) {
         fail(new EngineFailure(EngineFailure.Kind.BROKEN, status, EMPTY_BODY, e.getMessage()));
       }
