Decide in time linear in the fleet: sum up the readers' queues once a choice

Cause: for each writer the decisions went over all known servers to find the readers of its cell: 3,200 x 1,600 steps, up to three times a req.

Change: ReadQueues sums up all cells in one pass. The same cause elsewhere: the mean load and the median wait for each server that may be quick, the readers per writer for each reader that lends. ReadyServers keeps the ready ones by role and cell.

--- a/src/main/java/gapproxy/CellCapacities.java
+++ b/src/main/java/gapproxy/CellCapacities.java
@@ -9,6 +9,7 @@
 final class CellCapacities {
   private static final Capacity NONE = new Capacity();
   private final Map<Integer, Capacity> cells = new TreeMap<>();
+  private double readersPerWriter;
 
   /** The capacities of one cell, in units of a warm server of size 1. */
   static final class Capacity {
@@ -26,6 +27,8 @@
       capacity.readerCapacity += server.isReader() ? size : 0;
       capacity.writerCapacity += server.isWriter() ? size : 0;
     }
+    readersPerWriter = cells.values().stream().mapToDouble(c -> c.readerCapacity).sum()
+        / Math.max(1e-9, cells.values().stream().mapToDouble(c -> c.writerCapacity).sum());
   }
 
   Map<Integer, Capacity> all() { return cells; }
@@ -33,8 +36,5 @@
   Capacity get(int cell) { return cells.getOrDefault(cell, NONE); }
 
   /** The fleet's reader capacity per unit of writer capacity. */
-  double readersPerWriter() {
-    return cells.values().stream().mapToDouble(c -> c.readerCapacity).sum()
-        / Math.max(1e-9, cells.values().stream().mapToDouble(c -> c.writerCapacity).sum());
-  }
+  double readersPerWriter() { return readersPerWriter; }
 }
--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -81,6 +81,8 @@
   private final boolean probesForReports;
   private final RandomGenerator random;
   private final Map<Long, Server> servers = new TreeMap<>();
+  private ReadyServers<Server> readyServers = new ReadyServers<>(List.of());
+  private boolean readyServersOutdated;
   private final Map<Long, Req> reqs = new HashMap<>();
   private final List<Req> reqsAwaitingReports = new ArrayList<>();
   /** Servers have high priority, so that every choice of a server takes the sends before it into account. */
@@ -142,6 +144,7 @@
 
   /** Updates servers from a list; a complete or remembered list also removes the servers that it does not name. */
   private void applyServerList(Event.ServerList list) {
+    readyServersOutdated = true;
     if (list.form() == Event.ListForm.FAILED) {
       subscribeAt = settings.listOnRequest() ? now.plus(settings.listRequestDeadline().dividedBy(8)) : null;
       return;
@@ -178,12 +181,9 @@
       stateMoveWaits.halve();
       roleStatistics.values().forEach(p -> p.queueWaits.halve());
     }
-    Map<Role, List<Server>> ready = new EnumMap<>(Role.class);
-    servers.values().stream().filter(Server::isReady).forEach(s -> ready.computeIfAbsent(s.role(), r -> new ArrayList<>()).add(s));
     roleStatistics.forEach((role, p) -> {
-      List<Server> readyServers = ready.getOrDefault(role, List.of());
-      p.update(maintenanceRounds % ROUNDS_PER_DECAY == 0, (int) readyServers.stream().filter(s -> !s.cold()).count(),
-          readyServers.size());
+      List<Server> ofRole = readyServers().ofRole(role);
+      p.update(maintenanceRounds % ROUNDS_PER_DECAY == 0, (int) ofRole.stream().filter(s -> !s.cold()).count(), ofRole.size());
     });
     servers.values().removeIf(s -> s.runningAttempts.isEmpty() && s.goneAt != null
         && now.minus(s.goneAt).compareTo(GONE_SERVER_RETENTION) > 0);
@@ -191,7 +191,16 @@
     boolean decays = maintenanceRounds % ROUNDS_PER_DECAY == 0 || maintenanceRounds % ROUNDS_PER_WAIT_DECAY == 0;
     servers.values().stream().filter(s -> decays || s.needsEveryRound())
         .forEach(s -> mailboxes.post(s, new Message.MaintenanceRound(maintenanceRounds % ROUNDS_PER_DECAY == 0)));
-    cells.recount(servers.values().stream().filter(s -> s.isReady() && !s.ejected).toList(), Server::capacityFraction);
+    cells.recount(readyServers().all().stream().filter(s -> !s.ejected).toList(), Server::capacityFraction);
+  }
+
+  /** The ready servers, by role and cell, as of the latest list. */
+  private ReadyServers<Server> readyServers() {
+    if (readyServersOutdated) {
+      readyServers = new ReadyServers<>(servers.values());
+      readyServersOutdated = false;
+    }
+    return readyServers;
   }
 
   /**
@@ -303,6 +312,16 @@
           && (recentSendTimes.isEmpty() || now.minus(recentSendTimes.peekLast()).compareTo(FIRST_TRIAL_INTERVAL) >= 0);
     }
 
+    /** Whether the server reads prompts for others and is neither unavailable nor ejected. */
+    boolean isUsableReader() { return isReader() && isReady() && !ejected; }
+
+    /** The reads that are open or queued here. */
+    ReadQueues.Queue readQueue() {
+      int tokensColumn = settings.reports().queuedKiloTokens();
+      return new ReadQueues.Queue(openReads, !reportReceived() ? OptionalDouble.empty() : OptionalDouble.of(tokensColumn >= 0
+          ? reportedValue(tokensColumn) * 1000 / meanPromptTokens : reportedValue(settings.reports().queued())));
+    }
+
     /** Whether a report was received within its lifetime. */
     boolean reportReceived() { return reportReceived(REPORT_LIFETIME); }
 
@@ -344,6 +363,7 @@
     @Override
     void receive(Object message) {
       if (message instanceof Event.Line newLine) {
+        readyServersOutdated = true;
         boolean started = newLine.upSince() != null && (startedAt == null || newLine.upSince().compareTo(startedAt) > 0);
         if (started || newLine.kind() != line.kind() || newLine.cell() != line.cell() || newLine.zone() != line.zone()) {
           resetForNewEngine(started ? newLine.upSince() : now);
@@ -352,6 +372,7 @@
         line = newLine;
         listed = true;
       } else if (message instanceof Message.RemovedFromList) {
+        readyServersOutdated = true;
         listed = false;
       } else if (message instanceof Message.TrialClaimed c) {
         trialReq = c.by();
@@ -540,7 +561,7 @@
       if (ejected) {
         extendTrialInterval();
       } else if (outcomes.count(1) >= EJECTION_MIN_FAILURES && outcomes.share(1) >= EJECTION_FAILURE_SHARE) {
-        List<Server> sameRole = servers.values().stream().filter(s -> s.isReady() && s.role() == role()).toList();
+        List<Server> sameRole = readyServers().ofRole(role());
         if (2 * (sameRole.stream().filter(s -> s.ejected).count() + 1) <= sameRole.size()) {
           ejected = true;
           trialInterval = Duration.ZERO;
@@ -595,8 +616,7 @@
 
   /** The mean load of the writers with a current report, -1 if there is none. */
   private double averageWriterLoad() {
-    return servers.values().stream().filter(s -> s.isWriter() && s.isReady() && s.reportReceived())
-        .mapToDouble(s -> s.load(0)).average().orElse(-1);
+    return readyServers().writers().stream().filter(Server::reportReceived).mapToDouble(s -> s.load(0)).average().orElse(-1);
   }
 
   /**
@@ -605,8 +625,8 @@
    * Servers that failed the req's endpoint group or the req itself are left out too, unless the req allows them. Risk: the remaining
    * servers may be crowded.
    */
-  private List<Server> candidates(Req req, Predicate<Server> filter) {
-    List<Server> allowed = servers.values().stream().filter(filter).filter(s -> maySend(req, s))
+  private List<Server> candidates(Req req, List<Server> among, Predicate<Server> filter) {
+    List<Server> allowed = among.stream().filter(filter).filter(s -> maySend(req, s))
         .filter(s -> req.allowsFailedServers || !s.isAvoidedFor(req) && !req.failedServers.contains(s)).toList();
     List<Server> dueForTrial = allowed.stream()
         .filter(s -> s.ejected && req.retries == 0 && req.stateHolder == null && !req.quickServersOnly
@@ -614,7 +634,8 @@
     if (!dueForTrial.isEmpty()) {
       return dueForTrial.subList(0, 1);
     }
-    List<Server> admitted = allowed.stream().filter(s -> !s.ejected && (!req.quickServersOnly || req.startsQuickly(s))).toList();
+    List<Server> admitted = allowed.stream().filter(s -> !s.ejected).toList();
+    admitted = req.quickServersOnly ? req.quickServers(admitted) : admitted;
     List<Server> responsive = admitted.stream().filter(s -> !s.unresponsive).toList();
     return responsive.isEmpty() ? admitted : responsive;
   }
@@ -638,11 +659,12 @@
   private Server chooseWriter(Req req, Predicate<Server> filter) {
     double average = averageWriterLoad();
     boolean beforeRead = req.stateHolder == null;
+    ReadQueues readQueues = beforeRead ? readQueues() : null;
     Integer homeCell = homeCell(req);
     int homeZone = homeCell == null ? settings.zone() : cells.get(homeCell).zone;
-    return lowestCost(candidates(req, s -> s.isWriter() && filter.test(s)), s -> s.load(average) / s.capacityFraction()
+    return lowestCost(candidates(req, readyServers().writers(), filter), s -> s.load(average) / s.capacityFraction()
         + (beforeRead ? COST_PER_1000_UNCACHED * (req.accepted.prompt() - s.expectedCachedTokens(req.accepted)) / 1000
-            + COST_PER_OPEN_READ * Math.min(20, openReadsPerReader(s)) : 0)
+            + COST_PER_OPEN_READ * Math.min(20, openReadsPerReader(readQueues, s)) : 0)
         + (s.line.zone() == homeZone ? 0 : COST_OTHER_ZONE)
         + (beforeRead && homeCell != null && s.line.cell() != homeCell ? COST_AWAY_FROM_HOME : 0)
         + random.nextDouble() * COST_RANDOM_SPREAD);
@@ -652,18 +674,21 @@
    * The open reads per reader of the writer's cell: this gateway's own or, if longer, the reported queue. For a cell without usable readers
    * it is the figure of all readers, with a penalty, so that the cell's writers are not left idle.
    */
-  private double openReadsPerReader(Server writer) {
-    double inCell = openReadsPerReader(writer, s -> s.line.cell() == writer.line.cell());
-    return inCell < Double.MAX_VALUE ? inCell : MAX_READS_PER_READER / 2 + openReadsPerReader(writer, s -> true);
+  private double openReadsPerReader(ReadQueues queues, Server writer) {
+    ReadQueues.Queue own = writer.isUsableReader() ? writer.readQueue() : ReadQueues.NO_QUEUE;
+    double inCell = queues.perReader(writer.line.cell(), own);
+    return inCell < Double.MAX_VALUE ? inCell : MAX_READS_PER_READER / 2 + queues.perReader(own);
   }
 
-  private double openReadsPerReader(Server writer, Predicate<Server> filter) {
-    List<Server> readers = servers.values().stream()
-        .filter(s -> s.isReader() && s.isReady() && !s.ejected && s != writer && filter.test(s)).toList();
-    int tokensColumn = settings.reports().queuedKiloTokens();
-    double own = readers.stream().mapToDouble(s -> s.openReads).average().orElse(Double.MAX_VALUE);
-    return Math.max(own, readers.stream().filter(Server::reportReceived).mapToDouble(s -> tokensColumn >= 0
-        ? s.reportedValue(tokensColumn) * 1000 / meanPromptTokens : s.reportedValue(settings.reports().queued())).average().orElse(0));
+  /** The queues of all usable readers, in one pass over the servers; a pass for each writer would take a time quadratic in the fleet. */
+  private ReadQueues readQueues() {
+    ReadQueues queues = new ReadQueues();
+    for (Server reader : readyServers().readers()) {
+      if (!reader.ejected) {
+        queues.add(reader.line.cell(), reader.readQueue());
+      }
+    }
+    return queues;
   }
 
   /**
@@ -715,9 +740,9 @@
    * The reader picked by the hash of the shared prompt prefix or else the session, or the least busy reader if the picked one is too busy
    * in comparison; null if there is none. While reqs wait, a cold reader with slow-start credit may be chosen instead.
    */
-  private Server chooseReader(Req req, ToDoubleFunction<Server> weight) {
+  private Server chooseReader(Req req, List<Server> among, ToDoubleFunction<Server> weight) {
     long key = req.accepted.shared() != 0 ? req.accepted.shared() : req.accepted.session();
-    List<Server> readers = candidates(req, s -> s.isReader() && s != req.chosenWriter && weight.applyAsDouble(s) > 0);
+    List<Server> readers = candidates(req, among, s -> s != req.chosenWriter && weight.applyAsDouble(s) > 0);
     Server coldReader = lowestCost(readers.stream().filter(Server::cold).toList(), s -> -s.credit);
     if (coldReader != null && roleStatistics.get(coldReader.role()).readyWhileAllCold == 0
         && random.nextDouble() < waitPressure(Role.READ)) {
@@ -858,8 +883,7 @@
     private void requestReports() {
       List<Server> writers = new ArrayList<>();
       if (probesForReports) {
-        servers.values().stream().filter(s -> s.isWriter() && !s.ejected && !s.unresponsive && maySend(this, s))
-            .forEach(writers::add);
+        readyServers().writers().stream().filter(s -> !s.ejected && !s.unresponsive && maySend(this, s)).forEach(writers::add);
         long inZone = writers.stream().filter(s -> s.line.zone() == settings.zone()).count();
         if (inZone > REPORT_WRITERS && random.nextDouble() > REPORT_ALL_ZONES_PROBABILITY) {
           writers.removeIf(s -> s.line.zone() != settings.zone());
@@ -867,7 +891,7 @@
       }
       for (int i = 0; i < REPORT_WRITERS && !writers.isEmpty(); i++) {
         Server writer = writers.remove(random.nextInt(writers.size()));
-        Server reader = chooseReader(this, s -> s.line.cell() == writer.line.cell() ? 1 : 0);
+        Server reader = chooseReader(this, readyServers().readersOfCell(writer.line.cell()), s -> 1);
         for (Server s : reader == null ? List.of(writer) : List.of(writer, reader)) {
           if (!s.reportReceived(REPORT_REQUEST_INTERVAL) && awaitedReports.add(s)) {
             mailboxes.post(s, new Message.ReportRequested(this));
@@ -924,14 +948,15 @@
         return null;
       }
       boolean remote = accepted.prompt() - chosenWriter.expectedCachedTokens(accepted) > REMOTE_READ_MIN_TOKENS
-          && (openReadsPerReader(chosenWriter) < MAX_READS_PER_READER || chosenWriter.utilization() > HIGH_MEMORY_SHARE);
+          && (openReadsPerReader(readQueues(), chosenWriter) < MAX_READS_PER_READER || chosenWriter.utilization() > HIGH_MEMORY_SHARE);
       Server reader = null;
       if (remote || !chosenWriter.canReadLocally()) {
         Event.Line writerLine = chosenWriter.line;
-        reader = readsInWritersCell(this, chosenWriter) ? null : chooseReader(this, s -> lendingWeight(s, writerLine.zone()));
-        reader = reader != null ? reader : chooseReader(this, s -> s.line.cell() == writerLine.cell() ? 1 : 0);
-        reader = reader != null ? reader : chooseReader(this, s -> s.line.zone() == writerLine.zone() ? 1 : 0);
-        reader = reader != null ? reader : chooseReader(this, s -> 1);
+        List<Server> all = readyServers().readers();
+        reader = readsInWritersCell(this, chosenWriter) ? null : chooseReader(this, all, s -> lendingWeight(s, writerLine.zone()));
+        reader = reader != null ? reader : chooseReader(this, readyServers().readersOfCell(writerLine.cell()), s -> 1);
+        reader = reader != null ? reader : chooseReader(this, all, s -> s.line.zone() == writerLine.zone() ? 1 : 0);
+        reader = reader != null ? reader : chooseReader(this, all, s -> 1);
       }
       return reader;
     }
@@ -1054,14 +1079,17 @@
     }
 
     /**
-     * Whether the req would begin at this server almost at once. Prevents a pushback of reqs that idle servers could serve, only because
+     * The servers at which the req would begin almost at once. Prevents a pushback of reqs that idle servers could serve, only because
      * the one pair that the session's home and the hash choose is slow: otherwise a silent site or a few slow servers would cost all reqs
      * assigned to them. If all servers make reqs wait, none qualifies. Risk: cached prefixes at the idle servers may be evicted.
      */
-    private boolean startsQuickly(Server server) {
-      return (server.queueWaits.sum() >= 0.5 || server.isIdle())
-          && server.expectedWait(observedWaits(server.role()).median()) <= QUICK_WAIT_SHARE * toSeconds(responseTarget())
-          && (!server.isWriter() || server.load(averageWriterLoad()) < MIN_LOAD_LIMIT);
+    private List<Server> quickServers(List<Server> among) {
+      double averageLoad = averageWriterLoad();
+      Map<Role, Double> medianWaits = new EnumMap<>(Role.class);
+      List.of(Role.values()).forEach(role -> medianWaits.put(role, observedWaits(role).median()));
+      return among.stream().filter(s -> (s.queueWaits.sum() >= 0.5 || s.isIdle())
+          && s.expectedWait(medianWaits.get(s.role())) <= QUICK_WAIT_SHARE * toSeconds(responseTarget())
+          && (!s.isWriter() || s.load(averageLoad) < MIN_LOAD_LIMIT)).toList();
     }
 
     /** Whether most recent attempts had to wait, so that the whole fleet makes reqs wait and not just some servers. */
