Keep a write that is being written when its state is released early

Cause: the early release ended each write without sentAt as NO_CONNECTION, a proof that it never ran. sentAt is set after the last byte has left; until then nothing is proved.

Change: UnfinishedWritePolicy decides for timeouts and early releases alike. What has no connection is NO_CONNECTION; of what is being written a repeatable req is NOT_SENT, any other goes on and is told 410 by its server, which is a proof.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -1012,7 +1012,7 @@
       mailboxes.post(attempt.server, new Message.AttemptEnded(attempt, event));
       closed |= event.closed();
       boolean noState = event.note() == 1 && (event.outcome() == Outcome.FULL || event.outcome() == Outcome.TIMED_OUT
-          || event.outcome() == Outcome.NO_CONNECTION);  // the held state is gone or was released
+          || event.outcome() == Outcome.NO_CONNECTION || event.outcome() == Outcome.NOT_SENT);  // the held state is gone or was released
       stateHolder = event.outcome() == Outcome.READ ? attempt.server : noState ? null : stateHolder;
       if (closed ? event.outcome() != Outcome.DONE : attempt.remoteRead && hasReservation && event.outcome() != Outcome.READ) {
         releaseResources();
--- a/src/main/java/gapproxy/api/Event.java
+++ b/src/main/java/gapproxy/api/Event.java
@@ -49,7 +49,7 @@
   /**
    * The end of an attempt.
    *
-   * @param note the cached tokens that the server found, -1 if it does not report them; with FULL, TIMED_OUT and NO_CONNECTION, 1 if there
+   * @param note the cached tokens that the server found, -1 if it does not report them; with FULL, TIMED_OUT, NO_CONNECTION and NOT_SENT, 1 if there
    * is no held state left to fetch
    * @param closed whether the client has its final answer
    * @param report the load report that came with the response, empty if none did
--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -4,7 +4,6 @@
 import gapproxy.api.Action;
 import gapproxy.api.Event;
 import gapproxy.api.Event.Outcome;
-import gapproxy.api.Settings;
 import gapproxy.config.Config;
 import gapproxy.engine.EngineFailure;
 import gapproxy.http.HttpClient;
@@ -65,6 +64,7 @@
   private final Fleet fleet;
   private final HeldResources heldResources;
   private final AttemptLog attemptLog;
+  private final UnfinishedWritePolicy unfinishedWrites;
   private final SendGuard sendGuard;
   private final StallDetector stallDetector;
   private final StreamWatch streamWatch;
@@ -144,7 +144,9 @@
     effectRecord = new EffectRecord(budget);
     sendGuard = new SendGuard(loop, fleet, settings, metrics, recentEvents, effectRecord);
     attemptLog = new AttemptLog(loop, servers, recentEvents);
-    heldResources = new HeldResources(loop, settings, servers, fleet, sendGuard, metrics, recentEvents, attemptLog, this::endAttempt);
+    unfinishedWrites = new UnfinishedWritePolicy(req -> settings.settings().groups().get(req.attributes.group()).repeat());
+    heldResources = new HeldResources(loop, settings, servers, fleet, sendGuard, metrics, recentEvents, attemptLog, this::endAttempt,
+        unfinishedWrites);
     stallDetector = new StallDetector(loop, () -> !openReqs.isEmpty());
     streamWatch = new StreamWatch(loop, new StreamSilencePolicy(settings.silenceLimit()), stallDetector, metrics, attemptLog,
         (attempt, reason) -> abortStream(attempt, Outcome.TIMED_OUT, reason));
@@ -530,7 +532,7 @@
     }
     attempt.timeoutTimer = loop.after(action.timeOut().minus(loop.now().minus(stepTime)), () -> {
       if (!attempt.answerBegun) {
-        endAttempt(attempt, timeOutOutcome(attempt), 0, "no answer within " + action.timeOut().toMillis() + " ms");
+        endAttempt(attempt, unfinishedWrites.outcomeOfTimeout(attempt), 0, "no answer within " + action.timeOut().toMillis() + " ms");
       }
     });
     Duration timeout = action.timeOut().minus(loop.now().minus(stepTime));
@@ -585,17 +587,6 @@
     }
   }
 
-  /**
-   * The outcome of an attempt whose time is over. While its request is still being written, the time shows how fast the bytes are taken and not
-   * for how long the server makes requests wait. The last byte may just be leaving, though, so this is told of repeatable reqs only, and what
-   * may be held is released as after any attempt without an answer.
-   */
-  private Outcome timeOutOutcome(Req.Attempt attempt) {
-    boolean repeatable = settings.settings().groups().get(attempt.req.attributes.group()).repeat() == Settings.Repeat.REPLAYABLE;
-    attempt.timedOutInWriting = attempt.isBeingWritten();
-    return attempt.timedOutInWriting && repeatable ? Outcome.NOT_SENT : Outcome.TIMED_OUT;
-  }
-
   /** Asks the guard, right before the request is written, whether this attempt may still be sent. */
   private boolean maySend(Req.Attempt attempt) {
     return sendGuard.permitAttempt(attempt) instanceof SendGuard.Granted;
@@ -958,7 +949,7 @@
     // After a process stall, attempts are started whose timeouts have already passed; those timers run only after this one, so the
     // attempts are timed out here.
     req.attempts.stream().filter(attempt -> attempt.inFlight() && !attempt.answerBegun).toList()
-        .forEach(attempt -> endAttempt(attempt, timeOutOutcome(attempt), 0, "the request's time is over"));
+        .forEach(attempt -> endAttempt(attempt, unfinishedWrites.outcomeOfTimeout(attempt), 0, "the request's time is over"));
     runDecisions();
     if (!req.answered && req.streamingAttempt != null) {
       // A non-streamed answer that has begun but is not complete in time.
--- a/src/main/java/gapproxy/gateway/HeldResources.java
+++ b/src/main/java/gapproxy/gateway/HeldResources.java
@@ -41,6 +41,7 @@
   private final Metrics metrics;
   private final AttemptLog log;
   private final AttemptEnder attemptEnder;
+  private final UnfinishedWritePolicy unfinishedWrites;
   private final Releases releases;
   private final HeldClock clock;
   private final ReleaseWatch watch;
@@ -52,7 +53,7 @@
   private final Set<HeldResourceLedger> openLedgers = new LinkedHashSet<>();
 
   HeldResources(Loop loop, GatewaySettings gatewaySettings, Servers servers, Fleet fleet, SendGuard guard, Metrics metrics, EventRing ring,
-      AttemptLog log, AttemptEnder attemptEnder) {
+      AttemptLog log, AttemptEnder attemptEnder, UnfinishedWritePolicy unfinishedWrites) {
     this.loop = loop;
     this.servers = servers;
     this.fleet = fleet;
@@ -60,6 +61,7 @@
     this.metrics = metrics;
     this.log = log;
     this.attemptEnder = attemptEnder;
+    this.unfinishedWrites = unfinishedWrites;
     maxCloseDelay = HeldResourceLedger.MAX_DELIVERY_DELAY.plus(gatewaySettings.releaseWithin());
     clock = new HeldClock(loop, gatewaySettings.releaseWithin(), ring, guard::heldTooLong);
     releases = new Releases(servers, loop, gatewaySettings.releaseWithin(), fleet::othersByFailureDomain, metrics, this);
@@ -124,7 +126,7 @@
   void ended(Req.Attempt attempt) {
     Req req = attempt.req;
     boolean neverReachedServer = attempt.outcome == Outcome.NO_CONNECTION
-        || attempt.outcome == Outcome.NOT_SENT && !attempt.timedOutInWriting;
+        || attempt.outcome == Outcome.NOT_SENT && !attempt.endedInWriting;
     if (neverReachedServer || attempt.outcome == Outcome.DONE) {
       return;
     }
@@ -259,8 +261,8 @@
 
   /**
    * Releases the held resources of a req because none of its attempts is known to have arrived. Attempts in flight continue, except a write
-   * that is still waiting for a connection: it would have no held state left to fetch. When an attempt ends later, the decision logic is
-   * told that the state is gone and may start a new read.
+   * that was not sent, as {@link UnfinishedWritePolicy} decides: it would have no held state left to fetch. When an attempt ends later, the
+   * decision logic is told that the state is gone and may start a new read.
    */
   @Override
   public void releaseEarly(Req req) {
@@ -273,7 +275,8 @@
     req.ledgersById.values().forEach(this::release);
     List<Req.Attempt> unsent = req.attempts.stream()
         .filter(attempt -> attempt.inFlight() && attempt.path == Action.Path.WRITE && attempt.sentAt == null).toList();
-    unsent.forEach(attempt -> attemptEnder.end(attempt, Outcome.NO_CONNECTION, 1, "its state was released before it had a connection"));
+    unsent.forEach(attempt -> unfinishedWrites.outcomeOfEarlyRelease(attempt)
+        .ifPresent(outcome -> attemptEnder.end(attempt, outcome, 1, "its state was released before it was sent")));
     reqChanged(req);
   }
 
--- a/src/main/java/gapproxy/gateway/Req.java
+++ b/src/main/java/gapproxy/gateway/Req.java
@@ -43,8 +43,8 @@
     boolean serverResponsive;
     /** Whether the attempt was in flight during a release, which may have spared the resources that it waits for. */
     boolean mayRetainAfterRelease;
-    /** Whether its time was over while its request was being written. */
-    boolean timedOutInWriting;
+    /** Whether it was given up while its request was being written, so that the last byte may have left. */
+    boolean endedInWriting;
     /** Whether its first token has arrived. */
     boolean answerBegun;
     /** What was received of its answer; null until the answer has begun. */
--- a/src/test/java/gapproxy/platform/SlowReaderTest.java
+++ b/src/test/java/gapproxy/platform/SlowReaderTest.java
@@ -15,21 +15,28 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Model servers that read requests slowly, or stop halfway: each client gets its final answer by its deadline all the same. */
 class SlowReaderTest {
   private static final int BODY_BYTES = 256 << 10, SERVER_BUFFER_BYTES = 4 << 10, CLIENTS = 8, REQUESTS = 2;
   /** The page allows 16 ms after the deadline, and 50 ms more on sockets. */
   private static final long LATEST_AFTER_DEADLINE_MS = 66;
+  private static final Pattern CONTENT_LENGTH = Pattern.compile("(?i)content-length: *([0-9]+)"), HEAD_END = Pattern.compile("\r\n\r\n");
 
   private final List<AutoCloseable> resources = new ArrayList<>();
   private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -68,6 +75,33 @@
     return server.getLocalPort();
   }
 
+  /** Reads requests at a pace, and answers releases and what it is asked for. */
+  private static void readAndAnswer(Socket socket, int bytesPerSecond, Consumer<String> onHead, String answer)
+      throws IOException, InterruptedException {
+    InputStream in = socket.getInputStream();
+    byte[] piece = new byte[Math.max(1, bytesPerSecond / 100)];
+    StringBuilder request = new StringBuilder();
+    for (int count = in.read(piece); count >= 0; count = in.read(piece)) {
+      boolean headSeen = request.indexOf("\r\n\r\n") >= 0;
+      request.append(new String(piece, 0, count, StandardCharsets.ISO_8859_1));
+      if (!headSeen && request.indexOf("\r\n\r\n") >= 0) {
+        onHead.accept(request.toString());
+      }
+      if (isWhole(request)) {
+        String response = request.indexOf("DELETE") == 0 ? "HTTP/1.1 204 No Content\r\n\r\n" : answer;
+        socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+        request.setLength(0);
+      }
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+  }
+
+  private static boolean isWhole(CharSequence request) {
+    Matcher length = CONTENT_LENGTH.matcher(request);
+    Matcher headEnd = HEAD_END.matcher(request);
+    return headEnd.find() && (!length.find() || request.length() >= headEnd.end() + Integer.parseInt(length.group(1)));
+  }
+
   /** Reads at a pace until a number of bytes, and then nothing more. */
   private static void readSlowly(Socket socket, int bytesPerSecond, int stopAfterBytes) throws IOException, InterruptedException {
     InputStream in = socket.getInputStream();
@@ -164,16 +198,46 @@
     }
   }
 
+  /** Requests that must never run twice were sent to a second writer while it was not known whether the first had got them whole. */
+  @ParameterizedTest
+  @ValueSource(strings = {"non_idempotent", "read_like"})
+  void writeThatIsBeingWrittenIsRepeatedOnlyIfItMayRunTwice(String repeat) throws Exception {
+    List<String> writes = new CopyOnWriteArrayList<>();
+    Handler reader = socket -> readAndAnswer(socket, 40_000_000, head -> { },
+        "HTTP/1.1 202 Accepted\r\nContent-Length: 20\r\n\r\n{\"cached_tokens\":10}");
+    Handler writer = socket -> readAndAnswer(socket, 60_000, head -> {
+      if (head.startsWith("POST /v1/")) {
+        writes.add(head.lines().filter(line -> line.toLowerCase(Locale.ROOT).startsWith("req-id:")).findFirst().orElseThrow());
+      }
+    }, "HTTP/1.1 410 Gone\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n");
+    PlatformNode node = startNode(repeat, reader, writer);
+    try {
+      TimeUnit.MILLISECONDS.sleep(300);
+      ask(node, 0, 65_536, 3000);
+      // The first write takes over 4 s, its state is released after 0.6 s, and the client has 3 s.
+      long first = writes.stream().filter(write -> write.contains("c0-0")).count();
+      assertTrue(repeat.equals("read_like") ? first > 1 : first == 1, writes.toString());
+    } finally {
+      close(node);
+    }
+  }
+
   /** Starts a gateway with four model servers that read at a pace. */
   private PlatformNode startNode(int bytesPerSecond, int stopAfterBytes) throws Exception {
+    Handler handler = socket -> readSlowly(socket, bytesPerSecond, stopAfterBytes);
+    return startNode("read_like", handler, handler);
+  }
+
+  /** Starts a gateway with two readers and two writers. */
+  private PlatformNode startNode(String repeat, Handler reader, Handler writer) throws Exception {
     StringBuilder hosts = new StringBuilder();
     for (int i = 0; i < 4; i++) {
-      int port = listen(SERVER_BUFFER_BYTES, socket -> readSlowly(socket, bytesPerSecond, stopAfterBytes));
+      int port = listen(SERVER_BUFFER_BYTES, i < 2 ? reader : writer);
       hosts.append(i == 0 ? "" : ",").append(host("s-" + i, i < 2 ? "reading" : "writing", port));
     }
     String config = """
         {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"2a","limits":{"cores":1.0,"memory_mb":192,"sockets":512},
-         "settings":%s}""".formatted(discovery(hosts.toString()), PlatformSite.SETTINGS);
+         "settings":%s}""".formatted(discovery(hosts.toString()), PlatformSite.SETTINGS.replace("read_like", repeat));
     return PlatformNode.start(config.getBytes(StandardCharsets.UTF_8));
   }
 
