End the call of each attempt that ends, so that no second copy is sent beside it

Cause: endAttempt closed the connection for four outcomes and not for BROKEN and ERROR, which a listener above HttpClient may tell as well.

Change: an attempt that ends ends its call, whatever the outcome.

--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -818,8 +818,8 @@
     }
     if (attempt.call != null && outcome == Outcome.TIMED_OUT) {
       attempt.call.cancelUnresponsive();
-    } else if (attempt.call != null && (outcome == Outcome.CANCELLED || outcome == Outcome.NO_CONNECTION || outcome == Outcome.NOT_SENT)) {
-      attempt.call.cancel();
+    } else if (attempt.call != null) {
+      attempt.call.cancel();                                  // without effect if its answer is complete
     }
     heldResources.ended(attempt);
     boolean stateGone = attempt.path == Action.Path.WRITE && req.heldState == null
