--- a/src/test/java/gapproxy/platform/PlatformTest.java
+++ b/src/test/java/gapproxy/platform/PlatformTest.java
@@ -512,9 +512,9 @@
     }
   }
 
-  /** A restarted gateway sent to servers that drained, by its old list, while discovery took 3 s for the first one. */
+  /** A restarted gateway sent to servers that drained, by its old list, while discovery took 3 s for the first one or was down for 8 s. */
   @ParameterizedTest
-  @ValueSource(ints = {0, 700, 1500, 3000, 3500})
+  @ValueSource(ints = {0, 700, 1500, 3000, 3500, 8000})
   void serversDrainedBeforeStartGetNothingWhileDiscoveryIsSlow(int delayMs) throws Exception {
     byte[] configBeforeDrain = config();
     loop.runAndWait(() -> {
@@ -540,6 +540,18 @@
     assertFalse(site.callCounts.containsKey("POST /v1/chat/completions"), "a drained server got a req");
   }
 
+  /** The other side of the wait for discovery: without an answer from it, a restarted gateway is ready by the old list within 10 s. */
+  @Test
+  void restartedGatewayIsReadyInTimeWithoutDiscovery() throws Exception {
+    byte[] config = config();
+    loop.runAndWait(() -> site.discoveryDelay = Duration.ofMinutes(1));
+    node.close();
+    long startedNanos = System.nanoTime();
+    node = PlatformNode.start(config);
+    assertEquals(200, status(send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n")));
+    assertTrue(System.nanoTime() - startedNanos < TimeUnit.SECONDS.toNanos(10));
+  }
+
   @Test
   void serversDrainedBeforeStartAreNotTakenFromKnownList() throws Exception {
     byte[] configBeforeDrain = config();
