Forget sends by time as well, where servers never report their load

Cause: recentSends was trimmed by load reports alone.

Change: recordSend drops what is older than a report's lifetime and lag; each report that is still in use covers it, so no decision changes.

--- a/src/main/java/gapproxy/Rules.java
+++ b/src/main/java/gapproxy/Rules.java
@@ -452,7 +452,7 @@
         addOwnTokens(attempt.expectedTokens);
         attempt.unreadTokens = attempt.tokensToRead;
         unreadTokens += attempt.unreadTokens;
-        recentSends.add(new TimedTokens(attempt.expectedTokens, now));
+        recordSend(attempt.expectedTokens, now, REPORT_LIFETIME.plus(REPORT_LAG));
       }
       credit -= cold() ? 1 : 0;
       nextTrialAt = ejected ? now.plus(trialInterval) : nextTrialAt;
--- a/src/main/java/gapproxy/ServerView.java
+++ b/src/main/java/gapproxy/ServerView.java
@@ -27,7 +27,7 @@
   private final Settings settings;
   /** Prefixes assumed to be in the server's key-value cache, by the hash of the session or of the shared prompt prefix. */
   final Map<Long, TimedTokens> cachedPrefixes = new HashMap<>();
-  /** Tokens of recent sends, which the server's latest load report may not cover yet. */
+  /** Tokens of recent sends, which the server's latest load report may not cover yet, oldest first. */
   final Deque<TimedTokens> recentSends = new ArrayDeque<>();
   Event.Line line;
   /** The latest start time listed so far, null if the server started long ago; an outdated list never moves it back. */
@@ -104,6 +104,19 @@
   /** Whether an attempt sent to this server later has already succeeded, so that a queue can't be what delays the given one. */
   boolean isOvertaken(Attempt attempt) { return latestSuccessSentAt != null && attempt.sentAt.compareTo(latestSuccessSentAt) < 0; }
 
+  /**
+   * Records the tokens of a send, and forgets the sends that no report can leave uncovered any longer: where reports never come, they would
+   * be kept for ever.
+   *
+   * @param retention how long a report is used, and how far it lags
+   */
+  void recordSend(double tokens, Duration now, Duration retention) {
+    recentSends.add(new TimedTokens(tokens, now));
+    while (recentSends.peek().at().compareTo(now.minus(retention)) < 0) {
+      recentSends.poll();
+    }
+  }
+
   /** A column of the latest report; 0 if the report does not have it. */
   double reportedValue(int column) { return column >= 0 && column < report.length ? report[column] : 0; }
 }
