End a keyed repeat that is still being written as its window ends

What callers saw: a request ran again at a second writer, past the window in which that would know it for a repeat, where the writer read it slowly.

Cause: the window was compared with the clock as the first byte was written; a server starts a request when its last byte has arrived.

--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -589,7 +589,19 @@
 
   /** Asks the guard, right before the request is written, whether this attempt may still be sent. */
   private boolean maySend(Req.Attempt attempt) {
-    return sendGuard.permitAttempt(attempt) instanceof SendGuard.Granted;
+    boolean granted = sendGuard.permitAttempt(attempt) instanceof SendGuard.Granted;
+    Duration latestWriteEnd = sendGuard.latestWriteEnd(attempt);
+    if (granted && latestWriteEnd != null) {
+      loop.after(latestWriteEnd.minus(loop.now()), () -> endIfBeingWritten(attempt));
+    }
+    return granted;
+  }
+
+  /** Ends an attempt whose request is still being written though its last byte had to be written by now. */
+  private void endIfBeingWritten(Req.Attempt attempt) {
+    if (attempt.inFlight() && attempt.isBeingWritten()) {
+      endAttempt(attempt, unfinishedWrites.outcomeOfTimeout(attempt), 0, "the time for repeats ended while it was being written");
+    }
   }
 
   private void attemptSent(Req.Attempt attempt) {
--- a/src/main/java/gapproxy/gateway/SendGuard.java
+++ b/src/main/java/gapproxy/gateway/SendGuard.java
@@ -88,6 +88,14 @@
     return GRANTED;
   }
 
+  /**
+   * Until when the last byte of an attempt has to be written, or null if there is no limit. A repeat that arrives after its window would have
+   * its effect again.
+   */
+  Duration latestWriteEnd(Req.Attempt attempt) {
+    return attempt.sendDeadline == null ? null : attempt.sendDeadline.minus(MAX_PROCESS_PAUSE);
+  }
+
   private Permission refuse(Req.Attempt attempt, Refusal cause) {
     metrics.sendRefusal(cause);
     ring.add(new EventRing.Entry(loop.now(), Gateway.requestId(attempt.req), "attempt is refused", attempt.server.address(), cause));
--- a/src/test/java/gapproxy/platform/SlowReaderTest.java
+++ b/src/test/java/gapproxy/platform/SlowReaderTest.java
@@ -22,6 +22,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -38,6 +40,9 @@
   private static final long LATEST_AFTER_DEADLINE_MS = 66;
   private static final Pattern CONTENT_LENGTH = Pattern.compile("(?i)content-length: *([0-9]+)"), HEAD_END = Pattern.compile("\r\n\r\n");
 
+  private static final ModelServer QUICK_READER = new EvenServer(40_000_000, head -> { },
+      "HTTP/1.1 202 Accepted\r\nContent-Length: 20\r\n\r\n{\"cached_tokens\":10}");
+
   private final List<AutoCloseable> resources = new ArrayList<>();
   private final ExecutorService threads = Executors.newCachedThreadPool();
 
@@ -75,24 +80,47 @@
     return server.getLocalPort();
   }
 
-  /** Reads requests at a pace, and answers releases and what it is asked for. */
-  private static void readAndAnswer(Socket socket, int bytesPerSecond, Consumer<String> onHead, String answer)
-      throws IOException, InterruptedException {
+  /** A model server that decides by the head of each request. */
+  private interface ModelServer {
+    int bytesPerSecond(String head);
+
+    /** The response to a request that has been read whole. */
+    String respond(String head);
+  }
+
+  /** A model server that reads and answers all requests alike. */
+  private record EvenServer(int pace, Consumer<String> onHead, String response) implements ModelServer {
+    @Override
+    public int bytesPerSecond(String head) {
+      onHead.accept(head);
+      return pace;
+    }
+
+    @Override
+    public String respond(String head) {
+      return response;
+    }
+  }
+
+  /** Reads requests at their pace, and answers releases and what the server is asked for. */
+  private static void serve(Socket socket, ModelServer server) throws IOException, InterruptedException {
     InputStream in = socket.getInputStream();
-    byte[] piece = new byte[Math.max(1, bytesPerSecond / 100)];
+    byte[] piece = new byte[400];
     StringBuilder request = new StringBuilder();
+    long pauseNanos = 0;
     for (int count = in.read(piece); count >= 0; count = in.read(piece)) {
       boolean headSeen = request.indexOf("\r\n\r\n") >= 0;
       request.append(new String(piece, 0, count, StandardCharsets.ISO_8859_1));
       if (!headSeen && request.indexOf("\r\n\r\n") >= 0) {
-        onHead.accept(request.toString());
+        pauseNanos = TimeUnit.SECONDS.toNanos(piece.length) / server.bytesPerSecond(request.toString());
       }
       if (isWhole(request)) {
-        String response = request.indexOf("DELETE") == 0 ? "HTTP/1.1 204 No Content\r\n\r\n" : answer;
+        String response = request.indexOf("DELETE") == 0 ? "HTTP/1.1 204 No Content\r\n\r\n" : server.respond(request.toString());
         socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
         request.setLength(0);
+        pauseNanos = 0;
       }
-      TimeUnit.MILLISECONDS.sleep(10);
+      LockSupport.parkNanos(pauseNanos);
     }
   }
 
@@ -143,11 +171,15 @@
 
   /** Asks several times on one connection; returns the answers that came too late, or not at all. */
   private List<String> ask(PlatformNode node, int client, int promptTokens, int deadlineMs) throws IOException {
+    return ask(node, client, REQUESTS, promptTokens, deadlineMs);
+  }
+
+  private List<String> ask(PlatformNode node, int client, int requests, int promptTokens, int deadlineMs) throws IOException {
     List<String> late = new ArrayList<>();
     try (Socket socket = new Socket(node.address().getAddress(), node.address().getPort())) {
       socket.setSoTimeout(10_000);
       InputStream in = new BufferedInputStream(socket.getInputStream());
-      for (int i = 0; i < REQUESTS; i++) {
+      for (int i = 0; i < requests; i++) {
         socket.getOutputStream().write(request("c" + client + "-" + i, promptTokens, deadlineMs));
         long sentNanos = System.nanoTime();
         String answer = PlatformFixture.readAnswer(in);
@@ -203,14 +235,12 @@
   @ValueSource(strings = {"non_idempotent", "read_like"})
   void writeThatIsBeingWrittenIsRepeatedOnlyIfItMayRunTwice(String repeat) throws Exception {
     List<String> writes = new CopyOnWriteArrayList<>();
-    Handler reader = socket -> readAndAnswer(socket, 40_000_000, head -> { },
-        "HTTP/1.1 202 Accepted\r\nContent-Length: 20\r\n\r\n{\"cached_tokens\":10}");
-    Handler writer = socket -> readAndAnswer(socket, 60_000, head -> {
+    EvenServer writer = new EvenServer(60_000, head -> {
       if (head.startsWith("POST /v1/")) {
         writes.add(head.lines().filter(line -> line.toLowerCase(Locale.ROOT).startsWith("req-id:")).findFirst().orElseThrow());
       }
     }, "HTTP/1.1 410 Gone\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n");
-    PlatformNode node = startNode(repeat, reader, writer);
+    PlatformNode node = startNode(repeat, socket -> serve(socket, QUICK_READER), socket -> serve(socket, writer));
     try {
       TimeUnit.MILLISECONDS.sleep(300);
       ask(node, 0, 65_536, 3000);
@@ -222,6 +252,46 @@
     }
   }
 
+  /** A writer that answers the first request with an error and reads the next ones slowly. */
+  private static final class FailingOnceWriter implements ModelServer {
+    private final AtomicInteger writes = new AtomicInteger(), answered = new AtomicInteger();
+    private final int slowBytesPerSecond;
+
+    FailingOnceWriter(int slowBytesPerSecond) {
+      this.slowBytesPerSecond = slowBytesPerSecond;
+    }
+
+    @Override
+    public int bytesPerSecond(String head) {
+      return head.startsWith("POST /v1/") && writes.getAndIncrement() > 0 ? slowBytesPerSecond : 40_000_000;
+    }
+
+    @Override
+    public String respond(String head) {
+      if (head.startsWith("POST /v1/")) {
+        answered.incrementAndGet();
+      }
+      return "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n";
+    }
+  }
+
+  /** A repeat that its writer read slowly arrived after the window within which repeats are known, and had its effect again. */
+  @ParameterizedTest
+  @CsvSource({"1500,100000,false", "20000,250000,true"})
+  void repeatThatIsBeingWrittenAsItsWindowEndsDoesNotArrive(int windowMs, int bytesPerSecond, boolean arrives) throws Exception {
+    FailingOnceWriter writer = new FailingOnceWriter(bytesPerSecond);
+    PlatformNode node = startNode("idempotency_key\",\"windowUs\":" + windowMs + "000,\"group\":\"all", socket -> serve(socket, QUICK_READER),
+        socket -> serve(socket, writer));
+    try {
+      TimeUnit.MILLISECONDS.sleep(300);
+      ask(node, 0, 1, 65_536, 6000);
+      assertTrue(writer.writes.get() > 1, "no repeat was sent");
+      assertEquals(arrives, writer.answered.get() > 1, writer.answered + " arrived");
+    } finally {
+      close(node);
+    }
+  }
+
   /** Starts a gateway with four model servers that read at a pace. */
   private PlatformNode startNode(int bytesPerSecond, int stopAfterBytes) throws Exception {
     Handler handler = socket -> readSlowly(socket, bytesPerSecond, stopAfterBytes);
