--- a/src/main/java/gapproxy/soak/StreamFault.java
+++ b/src/main/java/gapproxy/soak/StreamFault.java
@@ -36,7 +36,11 @@
   /** Writes a comment as the beginning of the answer, and then as for {@link #HUGE_CHUNK}. */
   HUGE_CHUNK_AT_FIRST,
   /** Writes a size line that does not end. */
-  ENDLESS_SIZE_LINE;
+  ENDLESS_SIZE_LINE,
+  /** Writes an event that is soon longer than a body may be, and does not end it. */
+  ENDLESS_EVENT,
+  /** Writes a comment line that does not end. */
+  ENDLESS_COMMENT;
 
   /** What a {@link Write} writes. */
   enum Form {
@@ -57,8 +61,8 @@
   private static final Duration LONGEST_REST = Duration.ofMillis(4700), PIECE_INTERVAL = Duration.ofMillis(1200),
       SHORT_INTERVAL = Duration.ofMillis(400), LINE_INTERVAL = Duration.ofMillis(1500);
   /** For longer than any client may be kept waiting. */
-  private static final int ENDLESS_LINES = 8, EVENTS_IN_CHUNK = 36, SIZE_LINE_BYTES = 110;
-  private static final Duration USUAL_INTERVAL = Duration.ofMillis(300), SIZE_BYTE_INTERVAL = Duration.ofMillis(100);
+  private static final int ENDLESS_LINES = 8, EVENTS_IN_CHUNK = 36, ENDLESS_PIECES = 110, ENDLESS_PIECE_BYTES = 8000;
+  private static final Duration USUAL_INTERVAL = Duration.ofMillis(300), ENDLESS_INTERVAL = Duration.ofMillis(100);
   /** Even rests past the limit on silence, and then longer ones. */
   private static final int EVEN_PIECES = 18;
   private static final long[] LONGER_RESTS_MS = {1500, 3000, 200};
@@ -78,7 +82,8 @@
 
   /** Whether the answer is spoilt, so that a gateway may end it at once. */
   boolean spoilsAnswer() {
-    return this == NOISE || this == HUGE_CHUNK || this == OVERSIZED_CHUNK || this == HUGE_CHUNK_AT_FIRST;
+    return this == NOISE || this == HUGE_CHUNK || this == OVERSIZED_CHUNK || this == HUGE_CHUNK_AT_FIRST
+        || this == ENDLESS_EVENT;
   }
 
   /** What the server writes, in this order; then it leaves the answer open, or goes on. */
@@ -96,10 +101,18 @@
       case UNEVEN_EVENT -> unevenPieces();
       case HUGE_CHUNK, HUGE_CHUNK_AT_FIRST -> eventsInChunk("c0000000\r\n");
       case OVERSIZED_CHUNK -> eventsInChunk("100000\r\n");
-      case ENDLESS_SIZE_LINE -> Collections.nCopies(SIZE_LINE_BYTES, new Write(SIZE_BYTE_INTERVAL, "0", Form.RAW));
+      case ENDLESS_SIZE_LINE -> Collections.nCopies(ENDLESS_PIECES, new Write(ENDLESS_INTERVAL, "0", Form.RAW));
+      case ENDLESS_EVENT -> endless(piece(0), "~".repeat(ENDLESS_PIECE_BYTES));
+      case ENDLESS_COMMENT -> endless(": ", "~");
     };
   }
 
+  private static List<Write> endless(String begin, String piece) {
+    List<Write> all = new ArrayList<>(List.of(new Write(Duration.ZERO, begin, Form.TEXT)));
+    all.addAll(Collections.nCopies(ENDLESS_PIECES, new Write(ENDLESS_INTERVAL, piece, Form.TEXT)));
+    return all;
+  }
+
   private static String piece(int number) {
     return EVENT.substring(EVENT.length() * number / PIECES, EVENT.length() * (number + 1) / PIECES);
   }
