--- a/src/test/java/gapproxy/soak/SoakTest.java
+++ b/src/test/java/gapproxy/soak/SoakTest.java
@@ -167,6 +167,19 @@
     }
   }
 
+  /** The fault of review/10: an event may be completed however long it is. */
+  @Test
+  @Execution(ExecutionMode.CONCURRENT)
+  void plantedEventWithoutBoundIsFound() throws Exception {
+    Path classes = SourceMutation.compile(dir, List.of(
+        new SourceMutation("gateway/StreamSilencePolicy.java", "activity.unfinishedBytes() <= maxUnfinishedBytes",
+            "activity.unfinishedBytes() <= Long.MAX_VALUE - maxUnfinishedBytes")));
+    try (Soak soak = new Soak(oddStreamPlan(), dir, "", Set.of())) {
+      soak.overrideGatewayClasses(classes);
+      assertFound(soak.run(), List.of(), List.of("after the last event of a running server"));
+    }
+  }
+
   private static SoakPlan earlyDeclinePlan() {
     SoakPlan.Peers peers = new SoakPlan.Peers(true, true, true, Duration.ofMillis(200), 0.06, Duration.ofMillis(1500), 0, 0);
     return new SoakPlan(5, 3, 6, 6, Duration.ofSeconds(9), SETTINGS, peers, List.of(trouble(Kind.SIZES_DECLINED_EARLY, 500, 8000, 0.5),
