Keep engines' connections after whole streams

What callers saw: nothing yet.

Change: after a whole answer the call may end within 1 s, which bounds an engine that never ends its response as well; all other calls end at once.

Evidence: EngineConnectionTest, red with the call ended at once, green now.

--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -48,6 +48,8 @@
   private static final Duration DECISION_FAULT_DELAY = Duration.ofMillis(100);
   // Longer than the process stalls that a gateway must tolerate.
   private static final Duration STALL_THRESHOLD = Duration.ofMillis(200);
+  // How long the end of a response may take after the last event of its stream.
+  private static final Duration RESPONSE_END_TIMEOUT = Duration.ofSeconds(1);
   // Events kept for the log entries of a rule violation.
   private static final int EVENT_RING_SIZE = 512;
   // Limit on the chunks of an answer that are buffered before its first token.
@@ -830,8 +832,10 @@
     }
     if (attempt.call != null && outcome == Outcome.TIMED_OUT) {
       attempt.call.cancelUnresponsive();
+    } else if (attempt.call != null && outcome == Outcome.DONE) {
+      attempt.call.endWithin(RESPONSE_END_TIMEOUT);           // an engine's last event comes ahead of the end of its response
     } else if (attempt.call != null) {
-      attempt.call.cancel();                                  // without effect if its answer is complete
+      attempt.call.cancel();                                  // without effect if its response is complete
     }
     heldResources.ended(attempt);
     boolean stateGone = attempt.path == Action.Path.WRITE && req.heldState == null
--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -461,6 +461,13 @@
       }
     }
 
+    /** Cancels the call if its response is not complete after some time. */
+    public void endWithin(Duration timeout) {
+      if (!finished) {
+        loop.after(timeout, this::cancel);
+      }
+    }
+
     /**
      * Cancels the call because nothing was received. If the network path has failed silently, connections to the same address that have
      * been idle since before the request was sent are dead as well, without an error, and each would fail another request. Those
--- a/src/main/java/gapproxy/standin/Engine.java
+++ b/src/main/java/gapproxy/standin/Engine.java
@@ -234,6 +234,11 @@
     prefixCache.clear();
   }
 
+  /** The number of open connections to this engine. */
+  public int openConnections() {
+    return server == null ? 0 : server.open();
+  }
+
   /** Returns this engine's entry for the server list, with the given state. */
   public ServerList.Entry entry(ServerList.State state) {
     return new ServerList.Entry(spec.id, address, spec.zone, spec.cell, spec.kind, state, 1, upSince);
