Cancel the timers of calls and writes that have ended

What callers saw: nothing; for up to 1 s after each answer of serve, and to the end of a keyed repeat's window, a timer stayed whose call or attempt was over.

Change: each is cancelled with its call or attempt.

--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -594,7 +594,7 @@
     boolean granted = sendGuard.permitAttempt(attempt) instanceof SendGuard.Granted;
     Duration latestWriteEnd = sendGuard.latestWriteEnd(attempt);
     if (granted && latestWriteEnd != null) {
-      loop.after(latestWriteEnd.minus(loop.now()), () -> endIfBeingWritten(attempt));
+      attempt.writeTimer = loop.after(latestWriteEnd.minus(loop.now()), () -> endIfBeingWritten(attempt));
     }
     return granted;
   }
@@ -830,6 +830,9 @@
     if (attempt.timeoutTimer != null) {
       attempt.timeoutTimer.cancel();
     }
+    if (attempt.writeTimer != null) {
+      attempt.writeTimer.cancel();
+    }
     if (attempt.call != null && outcome == Outcome.TIMED_OUT) {
       attempt.call.cancelUnresponsive();
     } else if (attempt.call != null && outcome == Outcome.DONE) {
--- a/src/main/java/gapproxy/gateway/Req.java
+++ b/src/main/java/gapproxy/gateway/Req.java
@@ -28,6 +28,8 @@
     final Duration sendDeadline;
     HttpClient.Call call;
     Loop.Timer timeoutTimer;
+    /** Ends the attempt if its request is not written by the latest time for that; null if there is none. */
+    Loop.Timer writeTimer;
     /** When the silence of its server is checked next; null until the answer has begun. */
     Duration silenceCheckAt;
     Outcome outcome;
--- a/src/main/java/gapproxy/http/HttpClient.java
+++ b/src/main/java/gapproxy/http/HttpClient.java
@@ -335,7 +335,7 @@
     private byte[] body;
     private Listener listener;
     private ClientConnection connection;
-    private Loop.Timer connectTimer;
+    private Loop.Timer connectTimer, endTimer;
     private Runnable cancelConnect;
     private long receivedBytes;
     private Duration idleBefore;                              // how long its connection had been idle; null for a new one
@@ -464,7 +464,7 @@
     /** Cancels the call if its response is not complete after some time. */
     public void endWithin(Duration timeout) {
       if (!finished) {
-        loop.after(timeout, this::cancel);
+        endTimer = loop.after(timeout, this::cancel);
       }
     }
 
@@ -534,6 +534,9 @@
 
     private void finish() {
       finished = true;
+      if (endTimer != null) {
+        endTimer.cancel();
+      }
       headers = null;
       body = null;
       listener = null;
