--- a/src/test/java/gapproxy/soak/EndlessEventTest.java
+++ b/src/test/java/gapproxy/soak/EndlessEventTest.java
@@ -13,8 +13,6 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.api.parallel.Execution;
@@ -78,12 +76,6 @@
     return List.of(wholeEvent(MAX_BODY_BYTES, SLOW_MS), wholeEvent(MAX_BODY_BYTES - 1, 2 * SLOW_MS), wholeEvent(3000, 2 * SLOW_MS));
   }
 
-  private static String named(List<Outcome> outcomes, List<Script> scripts, Predicate<Outcome> wrong) {
-    List<String> names = scripts.stream().map(Script::name).toList();
-    return outcomes.stream().filter(o -> names.contains(o.script()) && wrong.test(o)).map(Outcome::toString)
-        .collect(Collectors.joining("\n"));
-  }
-
   /** Clients were left waiting for as long as noise came in place of the rest of an event. */
   @ParameterizedTest
   @CsvSource({"0,NONE", "150,NONE", "0,AT_TIMES"})
@@ -92,8 +84,8 @@
     List<Script> all = Stream.of(endless(), sound()).flatMap(List::stream).toList();
     try (SilentStreamPlay play = new SilentStreamPlay(dir, Duration.ofMillis(lateMs))) {
       List<Outcome> outcomes = play.play(all, COPIES, holdUps, lateMs);
-      assertEquals("", named(outcomes, sound(), o -> !o.whole()), "cut off");
-      assertEquals("", named(outcomes, endless(), o -> o.whole() || o.waited().compareTo(LATEST_END) > 0), "ended too late");
+      assertEquals("", SilentStreamPlay.wrongOutcomes(outcomes, sound(), o -> !o.whole()), "cut off");
+      assertEquals("", SilentStreamPlay.wrongOutcomes(outcomes, endless(), o -> o.whole() || o.waited().compareTo(LATEST_END) > 0), "ended too late");
     }
   }
 }
--- a/src/test/java/gapproxy/soak/OversizedChunkTest.java
+++ b/src/test/java/gapproxy/soak/OversizedChunkTest.java
@@ -16,8 +16,6 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
-import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.api.parallel.Execution;
@@ -154,12 +152,6 @@
     return scripts;
   }
 
-  private static String named(List<Outcome> outcomes, List<Script> scripts, Predicate<Outcome> wrong) {
-    List<String> names = scripts.stream().map(Script::name).toList();
-    return outcomes.stream().filter(o -> names.contains(o.script()) && wrong.test(o)).map(Outcome::toString)
-        .collect(Collectors.joining("\n"));
-  }
-
   /** Clients were left waiting for 15 s on streams whose servers had stated a chunk of gigabytes and went on with events in it. */
   @ParameterizedTest
   @CsvSource({"0,NONE", "150,NONE", "0,AT_TIMES"})
@@ -168,9 +160,9 @@
     List<Script> all = Stream.of(spoiltAfterEvents(), spoiltBeforeEvents(), sound()).flatMap(List::stream).toList();
     try (SilentStreamPlay play = new SilentStreamPlay(dir, Duration.ofMillis(lateMs))) {
       List<Outcome> outcomes = play.play(all, COPIES, holdUps, lateMs);
-      assertEquals("", named(outcomes, sound(), o -> !o.whole()), "cut off");
-      assertEquals("", named(outcomes, spoiltAfterEvents(), o -> o.whole() || o.waited().compareTo(LATEST_END) > 0), "ended too late");
-      assertEquals("", named(outcomes, spoiltBeforeEvents(), o -> o.status() == 200), "passed on");
+      assertEquals("", SilentStreamPlay.wrongOutcomes(outcomes, sound(), o -> !o.whole()), "cut off");
+      assertEquals("", SilentStreamPlay.wrongOutcomes(outcomes, spoiltAfterEvents(), o -> o.whole() || o.waited().compareTo(LATEST_END) > 0), "ended too late");
+      assertEquals("", SilentStreamPlay.wrongOutcomes(outcomes, spoiltBeforeEvents(), o -> o.status() == 200), "passed on");
       String log = Files.readString(play.gateway().log());
       for (String told : List.of("3221225472", "4294967295", "1048576", Integer.toString(MAX_BODY_BYTES + 1))) {
         assertTrue(Arrays.stream(log.split("\n")).anyMatch(line -> line.contains("cause=\"OVERSIZED\"") && line.contains(told)),
--- a/src/test/java/gapproxy/soak/SilentStreamPlay.java
+++ b/src/test/java/gapproxy/soak/SilentStreamPlay.java
@@ -23,6 +23,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 
@@ -108,6 +110,13 @@
     }
   }
 
+  /** The outcomes of some scripts for which a condition holds, a line each. */
+  static String wrongOutcomes(List<Outcome> outcomes, List<Script> scripts, Predicate<Outcome> wrong) {
+    List<String> names = scripts.stream().map(Script::name).toList();
+    return outcomes.stream().filter(o -> names.contains(o.script()) && wrong.test(o)).map(Outcome::toString)
+        .collect(Collectors.joining("\n"));
+  }
+
   GatewayProcess gateway() {
     return gateway;
   }
