--- a/src/main/java/gapproxy/standin/Engine.java
+++ b/src/main/java/gapproxy/standin/Engine.java
@@ -578,7 +578,11 @@
     addUsage(u, job, job.writtenTokens);
     endJob(job);
     job.exchange.write("data: " + c + "\n\ndata: " + u + "\n\ndata: [DONE]\n\n");
-    job.exchange.end();
+    if (faults.streamEndDelay.isZero()) {
+      job.exchange.end();
+    } else {
+      loop.after(faults.streamEndDelay, job.exchange::end);
+    }
   }
 
   /** Ends a forward, whatever its outcome: releases its memory and reports the end to the audit. Does nothing if it has ended already. */
--- a/src/main/java/gapproxy/standin/Faults.java
+++ b/src/main/java/gapproxy/standin/Faults.java
@@ -22,6 +22,8 @@
   public Duration firstRequestDelay = Duration.ZERO;
   /** Delay before each request is processed. */
   public Duration requestDelay = Duration.ZERO;
+  /** Time between the last event of a stream and the end of its response. */
+  public Duration streamEndDelay = Duration.ZERO;
   /** Age of the reported load. */
   public Duration reportDelay = Duration.ZERO;
   /** Share of the memory, 0 to 1, that is unavailable to reqs. */
