Move the time for a response's end into the decision module; play unsent writes

The 1 s for the end of a response stood in Gateway; StreamSilencePolicy decides it now, with the same value.

--- a/src/main/java/gapproxy/gateway/Gateway.java
+++ b/src/main/java/gapproxy/gateway/Gateway.java
@@ -48,8 +48,6 @@
   private static final Duration DECISION_FAULT_DELAY = Duration.ofMillis(100);
   // Longer than the process stalls that a gateway must tolerate.
   private static final Duration STALL_THRESHOLD = Duration.ofMillis(200);
-  // How long the end of a response may take after the last event of its stream.
-  private static final Duration RESPONSE_END_TIMEOUT = Duration.ofSeconds(1);
   // Events kept for the log entries of a rule violation.
   private static final int EVENT_RING_SIZE = 512;
   // Limit on the chunks of an answer that are buffered before its first token.
@@ -836,7 +834,7 @@
     if (attempt.call != null && outcome == Outcome.TIMED_OUT) {
       attempt.call.cancelUnresponsive();
     } else if (attempt.call != null && outcome == Outcome.DONE) {
-      attempt.call.endWithin(RESPONSE_END_TIMEOUT);           // an engine's last event comes ahead of the end of its response
+      attempt.call.endWithin(StreamSilencePolicy.responseEndTimeout());           // an engine's last event comes ahead of the end of its response
     } else if (attempt.call != null) {
       attempt.call.cancel();                                  // without effect if its response is complete
     }
--- a/src/main/java/gapproxy/gateway/StreamSilencePolicy.java
+++ b/src/main/java/gapproxy/gateway/StreamSilencePolicy.java
@@ -22,6 +22,8 @@
   private static final Duration LARGEST_RESERVE = Duration.ofMillis(270);
   /** A server may take this long to begin its response, although its bytes arrive at once. */
   private static final Duration QUICK_RESPONSE = Duration.ofMillis(100);
+  /** How long the end of a response may take after the last event of its stream. Its client has the whole answer by then. */
+  private static final Duration RESPONSE_END_TIMEOUT = Duration.ofSeconds(1);
   /** How much longer than the longest rest in an event the next one may be. */
   private static final Duration REST_TOLERANCE = Duration.ofMillis(500);
 
@@ -46,6 +48,11 @@
     return latest(Duration.ZERO, responseTime.minus(QUICK_RESPONSE));
   }
 
+  /** How long after the last event of its stream a response that has not ended keeps its connection. */
+  static Duration responseEndTimeout() {
+    return RESPONSE_END_TIMEOUT;
+  }
+
   /** When the answer is to be ended if nothing more is received until then. The time of a client's rest does not count. */
   Duration endAt(StreamActivity activity, Duration now) {
     if (activity.isPaused()) {
--- a/src/test/java/gapproxy/gateway/GatewayRaceTest.java
+++ b/src/test/java/gapproxy/gateway/GatewayRaceTest.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Races between two events in the gateway, run in a chosen order with fake clients, servers and clock. */
 class GatewayRaceTest extends GatewayHarness {
@@ -434,4 +436,20 @@
     advance(sent.plus(Duration.ofMillis(200)).minus(loop.now()));
     assertFalse(retry.shouldSend(), "after a stall of 0.15 s it would arrive after the window of 0.3 s");
   }
+
+  /** Guards against a write that truly never left and is not sent again: only one that is being written may be leaving. */
+  @ParameterizedTest
+  @ValueSource(strings = {"read_like", "idempotency_key", "non_idempotent"})
+  void writeThatGotNoConnectionIsRepeatedAfterAnEarlyRelease(String repeat) throws Exception {
+    start(repeat);
+    FakeReq req = sendReq();
+    servers.reads.get(0).sent();
+    servers.reads.get(0).readDone("", 0, 0);
+    advance(Duration.ofMillis(50));
+    assertEquals(1, servers.writes.size());
+    advance(Duration.ofMillis(700));
+    assertEquals(2, servers.reads.size(), "read again");
+    assertFalse(servers.writes.get(0).shouldSend(), "the first write is over");
+    assertEquals(List.of(), req.answers);
+  }
 }
