--- a/src/main/java/gapproxy/gateway/HeldResourceLedger.java
+++ b/src/main/java/gapproxy/gateway/HeldResourceLedger.java
@@ -172,7 +172,8 @@
 
   /** A description for logs. */
   String describe(Duration now) {
-    return entries.size() + " events at " + serversToRelease() + ", act for " + Math.max(0, mayActUntil().minus(now).toMillis())
+    Duration since = entries.stream().filter(entry -> entry.mayHold).map(entry -> entry.recordedAt).min(Duration::compareTo).orElse(now);
+    return entries.size() + " events at " + serversToRelease() + " since " + now.minus(since).toMillis() + " ms, act for " + Math.max(0, mayActUntil().minus(now).toMillis())
         + " ms more";
   }
 }
--- a/src/main/java/gapproxy/gateway/Releases.java
+++ b/src/main/java/gapproxy/gateway/Releases.java
@@ -4,6 +4,7 @@
 import gapproxy.trace.Metrics;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -105,14 +106,15 @@
     }
   }
 
-  private void call(HeldResourceLedger ledger, InetSocketAddress address, Duration timeout, boolean newConnection,
+  private ReleaseCall call(HeldResourceLedger ledger, InetSocketAddress address, Duration timeout, boolean newConnection,
       Consumer<Boolean> callback) {
     Duration startedAt = loop.now();
-    LOG.atDebug().addKeyValue("request_id", ledger.id).addKeyValue("server", address).log("release sent");
     boolean repeated = ledger.lastReleaseStartedAt() != null;
-    servers.release(address, ledger.id, timeout, newConnection || repeated || unresponsiveServers.containsKey(address), acknowledged -> {
-      LOG.atDebug().addKeyValue("request_id", ledger.id).addKeyValue("server", address).addKeyValue("acknowledged", acknowledged)
-          .addKeyValue("ms", loop.now().minus(startedAt).toMillis()).log("release answered");
+    ReleaseCall call = new ReleaseCall(address, newConnection || repeated || unresponsiveServers.containsKey(address), startedAt);
+    LOG.atDebug().addKeyValue("request_id", ledger.id).addKeyValue("server", address).log("release sent");
+    servers.release(address, ledger.id, timeout, call.newConnection, acknowledged -> {
+      call.ended(acknowledged, loop.now());
+      LOG.atDebug().addKeyValue("request_id", ledger.id).addKeyValue("call", call).log("release answered");
       metrics.release(acknowledged);
       if (acknowledged) {
         serverAcknowledged(address);
@@ -122,6 +124,7 @@
       }
       callback.accept(acknowledged);
     });
+    return call;
   }
 
   private boolean heardSince(InetSocketAddress from, Duration startedAt) {
@@ -149,6 +152,7 @@
    */
   private final class ReleaseRound {
     private final HeldResourceLedger ledger;
+    private final List<ReleaseCall> callsMade = new ArrayList<>();
     /** The servers that the ledger names for the release, see {@link HeldResourceLedger#serversToRelease}. */
     private final List<InetSocketAddress> ownServers;
     private boolean done;
@@ -160,7 +164,7 @@
     }
 
     void begin() {
-      ownServers.stream().skip(1).forEach(ownServer -> call(ledger, ownServer, releaseTime, false, this::answered));
+      ownServers.stream().skip(1).forEach(ownServer -> callsMade.add(call(ledger, ownServer, releaseTime, false, this::answered)));
       next();
     }
 
@@ -174,20 +178,27 @@
         ledger.releaseOverdue = true;
         metrics.lateRelease();
         LOG.atWarn().addKeyValue("request_id", ledger.id).addKeyValue("held_at", ownServers.get(0)).addKeyValue("calls", TRIES_IN_TIME)
-            .addKeyValue("may_hold", ledger.describe(loop.now()))
+            .addKeyValue("may_hold", ledger.describe(loop.now())).addKeyValue("made", callsMade)
             .log("no server acknowledged the release in time; retrying at longer intervals");
       } else if (calls > TRIES_IN_TIME + LATER_TRIES) {
         done = true;
         giveUp(ledger);
         return;
       }
-      call(ledger, nextTarget(early), early ? releaseTime : tryInterval.multipliedBy(2), calls % 2 == 0, this::answered);
+      ReleaseCall made =
+          call(ledger, nextTarget(early), early ? releaseTime : tryInterval.multipliedBy(2), calls % 2 == 0, this::answered);
+      if (early) {
+        callsMade.add(made);
+      }
       loop.after(early ? tryInterval : tryInterval.multipliedBy(2), this::next);
     }
 
     private void answered(boolean acknowledged) {
       if (acknowledged && !done) {
         done = true;
+        if (calls > 1) {
+          LOG.atWarn().addKeyValue("request_id", ledger.id).addKeyValue("made", callsMade).log("the first call of a release was not acknowledged");
+        }
         endRound(ledger);
       }
     }
@@ -209,6 +220,33 @@
     }
   }
 
+  /** One call that releases what is held under an id, for logs. */
+  private static final class ReleaseCall {
+    private final InetSocketAddress server;
+    private final boolean newConnection;
+    private final Duration startedAt;
+    private Duration endedAt;
+    private boolean acknowledged;
+
+    ReleaseCall(InetSocketAddress server, boolean newConnection, Duration startedAt) {
+      this.server = server;
+      this.newConnection = newConnection;
+      this.startedAt = startedAt;
+    }
+
+    void ended(boolean isAcknowledged, Duration now) {
+      acknowledged = isAcknowledged;
+      endedAt = now;
+    }
+
+    @Override
+    public String toString() {
+      return server + (newConnection ? " on a new connection" : " on a pooled connection") + " at " + startedAt.toMillis() + " ms: "
+          + (endedAt == null ? "no answer yet"
+              : (acknowledged ? "acknowledged" : "failed") + " after " + endedAt.minus(startedAt).toMillis() + " ms");
+    }
+  }
+
   /** A server that does not answer, and the ledgers that wait until it does. One call at a time is made on behalf of all of them. */
   private final class UnresponsiveServer {
     private final InetSocketAddress address;
--- a/src/main/java/gapproxy/standin/PlatformSite.java
+++ b/src/main/java/gapproxy/standin/PlatformSite.java
@@ -34,6 +34,10 @@
   public final class ModelServer implements HttpServer.Handler {
     public final String name;
     public final boolean reader;
+    /** The zone that discovery tells. */
+    public String zone = "here";
+    /** The port that discovery tells, where that is not the server's own one but that of a proxy; 0 for the server's own. */
+    public int proxyPort;
     private final int number;
     private HttpServer server;
     private String health = "up";
@@ -254,7 +258,7 @@
   }
 
   private String hostJson(ModelServer m) {
-    return "{\"host\":\"" + m.name + "\",\"dial\":\"127.0.0.1:" + m.address().getPort() + "\",\"site\":\"here\",\"class\":\""
+    return "{\"host\":\"" + m.name + "\",\"dial\":\"127.0.0.1:" + (m.proxyPort == 0 ? m.address().getPort() : m.proxyPort) + "\",\"site\":\"" + m.zone + "\",\"class\":\""
         + (m.reader ? "reading" : "writing") + "\",\"block\":0,\"health\":\"" + m.health + "\",\"share\":1.0,\"born_ms\":0}";
   }
 
