Call more servers as the time of a release runs short

Cause: a release made four calls in 0.8 of the release time, one after another, the first to a server that had not answered; calls that overlapped never counted as a second failure, so a server that had gone was called first again and again.

Other servers that have not answered are called only once their acknowledgement can settle something.

Result: ReleasesTest.releaseReachesTheLastServersThatAreLeftInTime was red before (four calls, none in time), green now.

--- a/src/main/java/gapproxy/gateway/HeldResourceLedger.java
+++ b/src/main/java/gapproxy/gateway/HeldResourceLedger.java
@@ -170,6 +170,12 @@
     return unanswered.isEmpty() ? entries.stream().limit(1).map(entry -> entry.server.address()).toList() : unanswered;
   }
 
+  /** Whether the acknowledgement of a release by this server that is started now would settle an entry that no other server's would. */
+  boolean needsAcknowledgementOf(InetSocketAddress address, Duration now) {
+    return entries.stream()
+        .anyMatch(entry -> !entry.answered && entry.server.address().equals(address) && entry.mayActUntil.compareTo(now) <= 0);
+  }
+
   /** A description for logs. */
   String describe(Duration now) {
     Duration since = entries.stream().filter(entry -> entry.mayHold).map(entry -> entry.recordedAt).min(Duration::compareTo).orElse(now);
--- a/src/main/java/gapproxy/gateway/Releases.java
+++ b/src/main/java/gapproxy/gateway/Releases.java
@@ -22,11 +22,8 @@
  */
 final class Releases {
   private static final Logger LOG = LoggerFactory.getLogger(Releases.class);
-  /**
-   * How many tries are made within the release time, and how many slower ones after it. The latter cover half a minute at a release time of
-   * one second.
-   */
-  private static final int TRIES_IN_TIME = 4, LATER_TRIES = 75;
+  /** How many slower tries follow those within the release time; they cover half a minute at a release time of one second. */
+  private static final int LATER_TRIES = 75;
   /** Consecutive failed calls after which a server counts as unreachable; the second of them opens a new connection. */
   private static final int UNREACHABLE_AFTER_FAILURES = 2;
 
@@ -56,6 +53,10 @@
   private final Metrics metrics;
   private final Listener listener;
   private final Map<InetSocketAddress, UnresponsiveServer> unresponsiveServers = new HashMap<>();
+  private Acknowledgement lastAcknowledgement;
+
+  /** The last release that a server acknowledged. */
+  private record Acknowledgement(InetSocketAddress server, Duration at) {}
 
   /**
    * @param otherServers returns, for a server, the others that can release in its place what is held under an id that the client gave;
@@ -69,7 +70,7 @@
     this.releaseTime = releaseTime;
     this.metrics = metrics;
     this.listener = listener;
-    tryInterval = releaseTime.dividedBy(TRIES_IN_TIME + 1);
+    tryInterval = releaseTime.dividedBy(ReleaseFanOutPolicy.WAVES_IN_TIME + 1);
   }
 
   /**
@@ -127,6 +128,11 @@
     return call;
   }
 
+  private boolean isUnreachable(InetSocketAddress address) {
+    UnresponsiveServer server = unresponsiveServers.get(address);
+    return server != null && server.unreachable() && !heardSince(address, server.lastFailedAt);
+  }
+
   private boolean heardSince(InetSocketAddress from, Duration startedAt) {
     Duration lastHeardAt = servers.lastReceivedAt(from);
     return lastHeardAt != null && lastHeardAt.compareTo(startedAt) > 0;
@@ -134,6 +140,7 @@
 
   private void serverAcknowledged(InetSocketAddress by) {
     UnresponsiveServer server = unresponsiveServers.remove(by);
+    lastAcknowledgement = new Acknowledgement(by, loop.now());
     if (server != null) {
       listener.serverReachable(by);
       server.removeAll().forEach(this::endRound);
@@ -141,11 +148,11 @@
   }
 
   /**
-   * Repeats release calls until one is acknowledged.
+   * Makes waves of release calls until one call is acknowledged.
    *
-   * <p>The first calls overlap, and each may take the whole release time: otherwise an engine that is slow to accept connections would see
-   * only calls that are abandoned too early. Later calls follow one another until a server answers again. Every second call opens a new
-   * connection, since all open ones may have stopped carrying data at the same moment while new ones work.
+   * <p>The waves within the release time overlap, and each call may take the whole release time: otherwise an engine that is slow to accept
+   * connections would see only calls that are abandoned too early. Later calls follow one another until a server answers again. Every second
+   * call opens a new connection, since all open ones may have stopped carrying data at the same moment while new ones work.
    *
    * <p>The other servers are called in rotation over their groups, in each group the one that is most likely reachable first: a partition
    * cuts off many servers at once, and the server that holds the state is one of them.
@@ -156,7 +163,7 @@
     /** The servers that the ledger names for the release, see {@link HeldResourceLedger#serversToRelease}. */
     private final List<InetSocketAddress> ownServers;
     private boolean done;
-    private int calls;
+    private int waves, othersCalled;
 
     ReleaseRound(HeldResourceLedger ledger) {
       this.ledger = ledger;
@@ -164,39 +171,67 @@
     }
 
     void begin() {
-      ownServers.stream().skip(1).forEach(ownServer -> callsMade.add(call(ledger, ownServer, releaseTime, false, this::answered)));
+      ownServers.stream().skip(1).filter(ownServer -> !ledger.releasableAnywhere || ledger.needsAcknowledgementOf(ownServer, loop.now()))
+          .filter(ownServer -> !passesOver(ownServer)).forEach(ownServer -> callInTime(ownServer, false));
       next();
     }
 
+    /** Whether a server is not called within the release time, as it is known to be unreachable and others can release in its place. */
+    private boolean passesOver(InetSocketAddress ownServer) {
+      return ledger.releasableAnywhere && isUnreachable(ownServer) && !otherServers.apply(ownServer).isEmpty();
+    }
+
     private void next() {
       if (done) {
         return;
       }
-      calls++;
-      boolean early = calls <= TRIES_IN_TIME;
-      if (calls == TRIES_IN_TIME + 1 && !ledger.releaseOverdue) {
-        ledger.releaseOverdue = true;
-        metrics.lateRelease();
-        LOG.atWarn().addKeyValue("request_id", ledger.id).addKeyValue("held_at", ownServers.get(0)).addKeyValue("calls", TRIES_IN_TIME)
-            .addKeyValue("may_hold", ledger.describe(loop.now())).addKeyValue("made", callsMade)
-            .log("no server acknowledged the release in time; retrying at longer intervals");
-      } else if (calls > TRIES_IN_TIME + LATER_TRIES) {
+      waves++;
+      if (waves <= ReleaseFanOutPolicy.WAVES_IN_TIME) {
+        callInTime();
+        loop.after(tryInterval, this::next);
+        return;
+      } else if (waves == ReleaseFanOutPolicy.WAVES_IN_TIME + 1 && !ledger.releaseOverdue) {
+        reportOverdue();
+      } else if (waves > ReleaseFanOutPolicy.WAVES_IN_TIME + LATER_TRIES) {
         done = true;
         giveUp(ledger);
         return;
       }
-      ReleaseCall made =
-          call(ledger, nextTarget(early), early ? releaseTime : tryInterval.multipliedBy(2), calls % 2 == 0, this::answered);
-      if (early) {
-        callsMade.add(made);
+      call(ledger, laterTarget(), tryInterval.multipliedBy(2), waves % 2 == 0, this::answered);
+      loop.after(tryInterval.multipliedBy(2), this::next);
+    }
+
+    /** Makes the calls of one wave within the release time. */
+    private void callInTime() {
+      InetSocketAddress ownServer = ownServers.get(0);
+      List<List<InetSocketAddress>> groups = ledger.releasableAnywhere ? otherServers.apply(ownServer) : List.of();
+      boolean passedOver = passesOver(ownServer);
+      if (waves == 1 && !passedOver || groups.isEmpty()) {
+        callInTime(ownServer, waves % 2 == 0);
+      }
+      int others = groups.isEmpty() ? 0 : ReleaseFanOutPolicy.otherServers(new ReleaseFanOutPolicy.Wave(waves, passedOver));
+      int known = groups.stream().mapToInt(List::size).sum();
+      for (int i = 0; i < others && othersCalled < 2 * known && !done; i++) {
+        callInTime(otherTarget(groups), callsMade.size() % 2 == 1);
       }
-      loop.after(early ? tryInterval : tryInterval.multipliedBy(2), this::next);
+    }
+
+    private void callInTime(InetSocketAddress target, boolean newConnection) {
+      callsMade.add(call(ledger, target, releaseTime, newConnection, this::answered));
+    }
+
+    private void reportOverdue() {
+      ledger.releaseOverdue = true;
+      metrics.lateRelease();
+      LOG.atWarn().addKeyValue("request_id", ledger.id).addKeyValue("held_at", ownServers.get(0)).addKeyValue("calls", callsMade.size())
+          .addKeyValue("may_hold", ledger.describe(loop.now())).addKeyValue("made", callsMade)
+          .log("no server acknowledged the release in time; retrying at longer intervals");
     }
 
     private void answered(boolean acknowledged) {
       if (acknowledged && !done) {
         done = true;
-        if (calls > 1) {
+        if (waves > 1) {
           LOG.atWarn().addKeyValue("request_id", ledger.id).addKeyValue("made", callsMade).log("the first call of a release was not acknowledged");
         }
         endRound(ledger);
@@ -204,20 +239,30 @@
     }
 
     /**
-     * Selects the server for the next call: the holding server first, then one of the others, rotating over their groups. In the later,
-     * slower tries every second call goes to the holding server. If no other server can release the id, all calls go to the holding server.
+     * Selects the server for the next call to another one than the holding server: the one that acknowledged a release last, if that was
+     * within the release time, and then one after the other, rotating over their groups.
      */
-    private InetSocketAddress nextTarget(boolean early) {
-      InetSocketAddress ownServer = ownServers.get(0);
-      int index = early ? calls - 2 : calls / 2 - 2 + TRIES_IN_TIME / 2;
-      List<List<InetSocketAddress>> groups = ledger.releasableAnywhere && (early ? calls > 1 : calls % 2 == 0)
-          ? otherServers.apply(ownServer) : List.of();
-      if (groups.isEmpty()) {
-        return ownServer;
+    private InetSocketAddress otherTarget(List<List<InetSocketAddress>> groups) {
+      boolean recent = lastAcknowledgement != null && loop.now().minus(lastAcknowledgement.at).compareTo(releaseTime) < 0
+          && groups.stream().anyMatch(group -> group.contains(lastAcknowledgement.server));
+      int index = othersCalled++;
+      if (recent && index == 0) {
+        return lastAcknowledgement.server;
       }
+      return targetAt(groups, recent ? index - 1 : index);
+    }
+
+    private InetSocketAddress targetAt(List<List<InetSocketAddress>> groups, int index) {
       List<InetSocketAddress> group = servers.mostReachableFirst(groups.get(index % groups.size()));
       return group.get(index / groups.size() % group.size());
     }
+
+    /** Selects the server for a later, slower call: in turns the holding server and one of the others, if these can release the id. */
+    private InetSocketAddress laterTarget() {
+      InetSocketAddress ownServer = ownServers.get(0);
+      List<List<InetSocketAddress>> groups = ledger.releasableAnywhere && waves % 2 == 0 ? otherServers.apply(ownServer) : List.of();
+      return groups.isEmpty() ? ownServer : targetAt(groups, othersCalled++);
+    }
   }
 
   /** One call that releases what is held under an id, for logs. */
@@ -252,7 +297,7 @@
     private final InetSocketAddress address;
     private final Set<HeldResourceLedger> waitingLedgers = new LinkedHashSet<>();
     private Loop.Timer timer;
-    private Duration lastFailedAt = Duration.ZERO;
+    private Duration lastFailedAt = Duration.ZERO, lastCountedAt = Duration.ZERO;
     private int failures, calls;
 
     UnresponsiveServer(InetSocketAddress address) {
@@ -261,8 +306,11 @@
 
     /** Records a call that got no answer. Calls that were in flight at the same time count as one failure. */
     void recordFailure(Duration startedAt) {
-      failures += failures == 0 || startedAt.compareTo(lastFailedAt) >= 0 ? 1 : 0;
       lastFailedAt = loop.now();
+      if (failures == 0 || startedAt.compareTo(lastCountedAt) >= 0) {
+        failures++;
+        lastCountedAt = lastFailedAt;
+      }
     }
 
     boolean unreachable() {
--- a/src/test/java/gapproxy/gateway/ReleasesTest.java
+++ b/src/test/java/gapproxy/gateway/ReleasesTest.java
@@ -141,4 +141,21 @@
     assertEquals(List.of(1, 6), calledPorts);
     assertEquals(true, inTime);
   }
+
+  /** Four calls, one after another, all went to servers that could not be reached. */
+  @Test
+  void releaseReachesTheLastServersThatAreLeftInTime() throws Exception {
+    LiveLoop loop = new LiveLoop("held");
+    PartitionedServers servers = new PartitionedServers();
+    List<List<InetSocketAddress>> others = List.of(List.of(address(9), address(8)), List.of(address(5)), List.of(address(4)),
+        List.of(address(3)), List.of(address(6)));
+    Releases releases = releases(servers, loop, others);
+    loop.execute(() -> releases.begin(ledger(loop)));
+    boolean inTime = servers.releaseReached.await(RELEASE_TIME.toMillis(), TimeUnit.MILLISECONDS);
+    List<Integer> calledPorts = new ArrayList<>();
+    loop.runAndWait(() -> calledPorts.addAll(servers.calledPorts));
+    loop.close();
+    assertEquals(List.of(1, 9, 5, 4, 3, 6), calledPorts);
+    assertEquals(true, inTime);
+  }
 }
