Let evidence that an attempt is out expire; watch attempts in flight themselves

Cause: a place granted beside a read, or data on an attempt's own connection, was believed to show that the attempt was still out until it timed out here; and while a read without a place, or a write that a release had spared something for, was in flight, nothing was recorded and so nothing watched.

Evidence counts for 0.6 of the release time from its moment; that of a read is renewed at 0.4 by asking again for its place. Reads from their sending on, and attempts that a release may have spared something for, have a ledger entry while in flight, so the release is repeated beside them. HeldClock measures from the same moments. A read's answer ends a release under way.

Why it works: something is held from the server's end of an attempt on, which lies after the last evidence, so a release at 0.6 of the release time leaves 0.4 and the protocol's 0.3 s for calls that fail.

--- a/src/main/java/gapproxy/gateway/AttemptLog.java
+++ b/src/main/java/gapproxy/gateway/AttemptLog.java
@@ -39,7 +39,7 @@
         .log(event);
   }
 
-  /** Records that the held resources of a req are released although its attempts may still be in flight: none is known to have arrived. */
+  /** Records that the held resources of a req are released although its attempts may still be in flight: none is known to be out. */
   void releasedEarly(Req req) {
     event(req, null, "released, as no attempt is known to have arrived", null);
     if (req.anyInFlight()) {
@@ -51,6 +51,13 @@
     }
   }
 
+  /** Records that a release is made only in case an attempt in flight has ended at its server, or lost its server, without being heard. */
+  void releasedBesideAttempt(Req req) {
+    event(req, null, "released beside an attempt in flight", null);
+    LOG.atDebug().addKeyValue("request_id", Gateway.requestId(req)).addKeyValue("held", describeHeld(req))
+        .log("released beside an attempt in flight");
+  }
+
   /**
    * Records that no server holds anything for a req under one of its ids any longer.
    *
@@ -71,7 +78,8 @@
         .addKeyValue("connection_age_ms", millisSince(connection == null ? null : connection.openedAt()))
         .addKeyValue("connection_heard_ms", millisSince(connection == null ? null : connection.lastHeardAt()))
         .addKeyValue("server_heard_ms", millisSince(attempt.server == null ? null : servers.lastReceivedAt(attempt.server.address())))
-        .addKeyValue("evidence", attempt.arrivalEvidence).addKeyValue("held", describeHeld(attempt.req)).addKeyValue("why", attempt.reason)
+        .addKeyValue("evidence", attempt.arrivalEvidence)
+        .addKeyValue("confirmed_ms", millisSince(attempt.req.lastConfirmedAt)).addKeyValue("held", describeHeld(attempt.req)).addKeyValue("why", attempt.reason)
         .log(message);
   }
 
--- a/src/main/java/gapproxy/gateway/HeldClock.java
+++ b/src/main/java/gapproxy/gateway/HeldClock.java
@@ -48,7 +48,7 @@
     final Object server;
     /** When the server last reported the hold. */
     private Duration reportedAt;
-    /** Since when no attempt is known to need the hold, or null while one is. */
+    /** Since when no attempt is known to need the hold, or null while that is not measured. */
     private Duration unconfirmedSince;
     /** When the last acknowledged release was started, or null. */
     private Duration lastReleaseStartedAt;
@@ -59,13 +59,16 @@
       this.server = server;
     }
 
-    /**
-     * Whether an attempt is in flight that is known to have arrived, or for which an acknowledged release may have spared the hold because
-     * the attempt had started before that release.
-     */
-    private boolean isNeeded() {
-      return req.attempts.stream().anyMatch(a -> a.inFlight()
-          && (a.arrivalEvidence != null || lastReleaseStartedAt != null && a.startedAt.compareTo(lastReleaseStartedAt) <= 0));
+    /** Whether an attempt is in flight for which an acknowledged release may have spared the hold, as it had started before that release. */
+    private boolean mayBeSpared() {
+      return lastReleaseStartedAt != null && req.attempts.stream()
+          .anyMatch(a -> a.inFlight() && !a.answerBegun && a.startedAt.compareTo(lastReleaseStartedAt) <= 0);
+    }
+
+    /** The last time at which the hold was not overdue: when it was reported, or when an attempt was known to be out or may have been. */
+    private Duration unconfirmedFrom() {
+      Duration from = req.lastConfirmedAt != null && req.lastConfirmedAt.compareTo(reportedAt) > 0 ? req.lastConfirmedAt : reportedAt;
+      return mayBeSpared() && lastReleaseStartedAt.compareTo(from) > 0 ? lastReleaseStartedAt : from;
     }
 
     private void startTimers(Duration from) {
@@ -105,10 +108,9 @@
   /** Re-evaluates the holds of a req after one of its attempts started, was heard from or ended. */
   void attemptsChanged(Req req) {
     for (ReportedHold hold : req.reportedHoldsById.values()) {
-      if (hold.isNeeded()) {
-        hold.stopTimers();
-      } else if (hold.unconfirmedSince == null) {
-        hold.startTimers(loop.now());
+      Duration from = hold.unconfirmedFrom();
+      if (hold.unconfirmedSince == null || from.compareTo(hold.unconfirmedSince) > 0) {
+        hold.startTimers(from);
       }
     }
   }
@@ -144,9 +146,9 @@
     hold.lastReleaseStartedAt = releaseStartedAt;
     boolean closeMayArrive = req.lastUnansweredCloseAt != null
         && req.lastUnansweredCloseAt.plus(MAX_CLOSE_DELAY).compareTo(releaseStartedAt) > 0;
-    if (!hold.isNeeded() && !closeMayArrive) {
+    if (!hold.mayBeSpared() && !closeMayArrive) {
       forget(req, id);
-    } else if (hold.unconfirmedSince != null && releaseStartedAt.compareTo(hold.unconfirmedSince) > 0) {
+    } else if (releaseStartedAt.compareTo(hold.unconfirmedSince) > 0) {
       hold.startTimers(releaseStartedAt);
     }
     attemptsChanged(req);
--- a/src/main/java/gapproxy/gateway/HeldResourceLedger.java
+++ b/src/main/java/gapproxy/gateway/HeldResourceLedger.java
@@ -19,6 +19,9 @@
  * <p>A release spares, that is, does not free, the resources that an attempt at a server is waiting for. Attempts that are in flight during
  * an acknowledged release therefore add an entry when they end without a token, see {@link Req.Attempt#mayRetainAfterRelease}.
  *
+ * <p>An attempt in flight is no proof that its server still works on it: its answer may have been lost, or its server may have vanished. A
+ * read from its sending on, and every attempt that a release may have spared something for, therefore has an entry while it is in flight.
+ *
  * <p>Confined to the gateway's loop.
  */
 final class HeldResourceLedger {
@@ -26,6 +29,8 @@
    * The longest delay between sending a message or a close and its arrival at the server, on a connection that temporarily carries no data.
    */
   static final Duration MAX_DELIVERY_DELAY = Duration.ofSeconds(1);
+  /** Stands for the unknown end of an attempt in flight. */
+  private static final Duration NO_END = Duration.ofDays(365_000);
 
   /** An event after which a server may hold a resource, or because of which a release may spare one. */
   final class Entry {
@@ -35,6 +40,8 @@
     private Duration recordedAt;
     private Duration mayActUntil;
     private boolean answered;
+    /** Whether the entry stands for an attempt in flight. */
+    private boolean inFlight;
 
     private Entry(Fleet.Server server, boolean mayHold, Duration recordedAt, Duration mayActUntil, boolean answered) {
       this.server = server;
@@ -98,6 +105,17 @@
     return entry;
   }
 
+  /**
+   * Records that an attempt is in flight that may leave a resource held at any moment: it may end at its server without its answer reaching
+   * this gateway, or its server may vanish while it waits for a resource. No release settles the entry; the end of the attempt removes it.
+   */
+  Entry recordInFlight(Fleet.Server server, Duration now) {
+    Entry entry = new Entry(server, true, now, NO_END, false);
+    entry.inFlight = true;
+    entries.add(entry);
+    return entry;
+  }
+
   /**
    * Records that an attempt was closed without an answer. Until its server has seen the close, a release may spare resources that become
    * held in the meantime.
@@ -126,7 +144,14 @@
     entries.removeIf(entry -> entry.isSettledBy(releaseStartedAt, address, isSameInstance) && !(entry.mayHold && mayBeSpared));
     if (releasableAnywhere) {
       req.attempts.stream().filter(a -> a.inFlight() && !a.answerBegun && a.startedAt.compareTo(releaseStartedAt) <= 0)
-          .forEach(a -> a.mayRetainAfterRelease = true);
+          .forEach(a -> mayRetain(a, releaseStartedAt));
+    }
+  }
+
+  private void mayRetain(Req.Attempt attempt, Duration releaseStartedAt) {
+    attempt.mayRetainAfterRelease = true;
+    if (attempt.inFlightEntry == null) {
+      attempt.inFlightEntry = recordInFlight(attempt.server, releaseStartedAt);
     }
   }
 
@@ -134,7 +159,7 @@
    * Extends the entries of a server that can be reached again: it may only now see the messages and closes sent while it was unreachable.
    */
   void serverReachable(InetSocketAddress address, Duration now) {
-    entries.stream().filter(entry -> !entry.answered && entry.server.address().equals(address))
+    entries.stream().filter(entry -> !entry.answered && !entry.inFlight && entry.server.address().equals(address))
         .forEach(entry -> entry.extendTo(now.plus(MAX_DELIVERY_DELAY)));
   }
 
@@ -148,6 +173,20 @@
     return entries.stream().anyMatch(entry -> entry.mayHold);
   }
 
+  /** Whether a server may hold a resource for another reason than an attempt in flight. */
+  boolean mayHoldBesidesAttempts() {
+    return entries.stream().anyMatch(entry -> entry.mayHold && !entry.inFlight);
+  }
+
+  /** When the next release of what no attempt will use is due, given the interval between two releases. */
+  Duration releaseDueAt(Duration now, Duration interval) {
+    if (releaseCoversAll()) {
+      return lastReleaseStartedAt.plus(interval);
+    }
+    return mayHoldBesidesAttempts() ? now
+        : entries.stream().map(entry -> entry.recordedAt).reduce(Duration.ZERO, (a, b) -> a.compareTo(b) > 0 ? a : b).plus(interval);
+  }
+
   /** Until when a resource may still become held. */
   Duration mayActUntil() {
     return entries.stream().map(entry -> entry.mayActUntil).reduce(Duration.ZERO, (a, b) -> a.compareTo(b) > 0 ? a : b);
@@ -179,7 +218,7 @@
   /** A description for logs. */
   String describe(Duration now) {
     Duration since = entries.stream().filter(entry -> entry.mayHold).map(entry -> entry.recordedAt).min(Duration::compareTo).orElse(now);
-    return entries.size() + " events at " + serversToRelease() + " since " + now.minus(since).toMillis() + " ms, act for " + Math.max(0, mayActUntil().minus(now).toMillis())
-        + " ms more";
+    return entries.size() + " events at " + serversToRelease() + " since " + now.minus(since).toMillis() + " ms, " + (entries.stream().anyMatch(entry -> entry.inFlight)
+        ? "an attempt in flight may leave more" : "act for " + Math.max(0, mayActUntil().minus(now).toMillis()) + " ms more");
   }
 }
--- a/src/main/java/gapproxy/gateway/HeldResources.java
+++ b/src/main/java/gapproxy/gateway/HeldResources.java
@@ -88,12 +88,20 @@
   /** Records that the last byte of an attempt was handed to the operating system. */
   void attemptSent(Req.Attempt attempt) {
     watch.attemptSent(attempt);
+    Req req = attempt.req;
+    if (attempt.isRead() && attempt.inFlight() && attempt.inFlightEntry == null && req.clientRequestId != null) {
+      HeldResourceLedger ledger = ledger(req, attempt.serverRequestId);
+      attempt.inFlightEntry = ledger.recordInFlight(attempt.server, loop.now());
+      openLedgers.add(ledger);
+      reqChanged(req);
+    }
   }
 
   /** Records that data was received on an attempt's own connection. */
   void heardOnOwnConnection(Req.Attempt attempt) {
-    if (attempt.inFlight() && attempt.arrivalEvidence != ArrivalEvidence.OWN_CONNECTION) {
+    if (attempt.inFlight() && !attempt.answerBegun) {
       attempt.arrivalEvidence = ArrivalEvidence.OWN_CONNECTION;
+      attempt.req.confirmed(loop.now());
       reqChanged(attempt.req);
     }
   }
@@ -125,13 +133,32 @@
    */
   void ended(Req.Attempt attempt) {
     Req req = attempt.req;
+    removeInFlightEntry(attempt);
     boolean neverReachedServer = attempt.outcome == Outcome.NO_CONNECTION
         || attempt.outcome == Outcome.NOT_SENT && !attempt.endedInWriting;
-    if (neverReachedServer || attempt.outcome == Outcome.DONE) {
-      return;
+    if (!neverReachedServer && attempt.outcome != Outcome.DONE) {
+      recordWhatItMayLeave(attempt);
+    }
+    HeldResourceLedger heldLedger = req.ledgersById.get(attempt.serverRequestId);
+    if (heldLedger != null) {
+      closeIfProved(heldLedger, Proof.NOT_HELD);
+    }
+  }
+
+  private static void removeInFlightEntry(Req.Attempt attempt) {
+    if (attempt.inFlightEntry != null) {
+      attempt.inFlightEntry.remove();
+      attempt.inFlightEntry = null;
     }
+  }
+
+  private void recordWhatItMayLeave(Req.Attempt attempt) {
+    Req req = attempt.req;
     boolean answered = attempt.outcome == Outcome.READ || attempt.outcome == Outcome.FULL
         || attempt.outcome == Outcome.ERROR && attempt.arrivalEvidence == ArrivalEvidence.OWN_CONNECTION;
+    if (answered) {
+      req.confirmed(loop.now());
+    }
     clock.attemptEnded(attempt, answered);
     req.lastUnansweredReadCloseAt = attempt.isRead() && !answered ? loop.now() : req.lastUnansweredReadCloseAt;
     boolean mayLeaveState = attempt.isRead() && attempt.outcome != Outcome.FULL;
@@ -147,6 +174,7 @@
       ledger(req, attempt.serverRequestId).recordUnansweredClose(attempt.server, loop.now(), mayActUntil);
     }
     if (attempt.outcome == Outcome.READ) {
+      releases.cancel(ledger(req, attempt.serverRequestId));       // its state is of use now
       clock.holdReported(req, attempt.serverRequestId, attempt.server.address());
     }
   }
@@ -161,12 +189,18 @@
     log.reservationEvent(req, server, "reservation is asked for");
     Req.Reservation reservation = new Req.Reservation(server, req.clientRequestId != null ? req.clientRequestId
         : req.assignedId + "-p" + req.attempts.size());
-    Req.Attempt concurrentRead = req.attempts.stream().filter(attempt -> attempt.inFlight() && attempt.isRead() && attempt.sentAt != null)
-        .reduce((a, b) -> b).orElse(null);
-    boolean earlierReadMayBeActive = req.lastUnansweredReadCloseAt != null
-        && req.lastUnansweredReadCloseAt.plus(maxCloseDelay).compareTo(loop.now()) > 0;
     req.reservation = reservation;
     req.reservationConfirmed = false;
+    requestReservation(req, reservation, callback);
+  }
+
+  /** Asks for a reservation, for the first time or again, and takes its answer as evidence of the read in flight. */
+  private void requestReservation(Req req, Req.Reservation reservation, Consumer<Boolean> callback) {
+    Fleet.Server server = reservation.server();
+    Duration requestedAt = loop.now();
+    Req.Attempt concurrentRead = readInFlight(req);
+    boolean earlierReadMayBeActive = req.lastUnansweredReadCloseAt != null
+        && req.lastUnansweredReadCloseAt.plus(maxCloseDelay).compareTo(requestedAt) > 0;
     HeldResourceLedger.Entry entry = recordMayHold(req, server, reservation.id(), watch.reservationMayActUntil(), false);
     reqChanged(req);
     servers.reserve(server.address(), reservation.id(), req.client, watch.reservationTimeout(), new Servers.ReservationListener() {
@@ -180,17 +214,32 @@
         log.reservationEvent(req, server, "reservation is answered " + answer);
         reservationAnswered(req, reservation, entry, answer);
         if (answer == Servers.ReservationResult.HELD && !earlierReadMayBeActive) {
-          markReadArrived(concurrentRead);
+          readKnownActive(concurrentRead, requestedAt);
         }
         reqChanged(req);
         if (answer == Servers.ReservationResult.NOT_KNOWN && concurrentRead != null) {
-          watch.reservationNotKnown(concurrentRead);
+          watch.reservationNotKnown(concurrentRead, requestedAt);
         }
         callback.accept(answer == Servers.ReservationResult.HELD);
       }
     });
   }
 
+  private static Req.Attempt readInFlight(Req req) {
+    return req.attempts.stream().filter(attempt -> attempt.inFlight() && attempt.isRead() && attempt.sentAt != null)
+        .reduce((a, b) -> b).orElse(null);
+  }
+
+  /** Asks again for a reservation that was granted, since the server grants it only while the read is out. */
+  @Override
+  public void renewEvidence(Req req) {
+    Req.Attempt read = readInFlight(req);
+    if (req.reservation != null && req.reservationConfirmed && read != null && servers.reservationProvesRead()) {
+      log.reservationEvent(req, req.reservation.server(), "reservation is asked for again");
+      requestReservation(req, req.reservation, granted -> { });
+    }
+  }
+
   private void reservationAnswered(Req req, Req.Reservation reservation, HeldResourceLedger.Entry entry, Servers.ReservationResult answer) {
     boolean held = answer == Servers.ReservationResult.HELD;
     if (answer == Servers.ReservationResult.NOT_HELD) {
@@ -208,10 +257,13 @@
     }
   }
 
-  /** Marks a read as arrived if a granted reservation proves that, see {@link Servers#reservationProvesRead}. */
-  private void markReadArrived(Req.Attempt read) {
-    if (read != null && read.inFlight() && read.arrivalEvidence == null && servers.reservationProvesRead()) {
-      read.arrivalEvidence = ArrivalEvidence.RESERVATION;
+  /**
+   * Records that a read was out when a reservation was requested, if a granted one proves that, see {@link Servers#reservationProvesRead}.
+   */
+  private void readKnownActive(Req.Attempt read, Duration requestedAt) {
+    if (read != null && read.inFlight() && servers.reservationProvesRead()) {
+      read.arrivalEvidence = read.arrivalEvidence == null ? ArrivalEvidence.RESERVATION : read.arrivalEvidence;
+      read.req.confirmed(requestedAt);
     }
   }
 
@@ -223,6 +275,7 @@
     req.heldState = null;
     req.reservation = null;
     req.attempts.forEach(attempt -> attempt.mayRetainAfterRelease = false);
+    removeInFlightEntry(req.streamingAttempt);
     req.ledgersById.values().forEach(ledger -> {
       ledger.answerBegun(req.streamingAttempt.startedAt);
       closeIfProved(ledger, Proof.FIRST_TOKEN);
@@ -260,12 +313,18 @@
   }
 
   /**
-   * Releases the held resources of a req because none of its attempts is known to have arrived. Attempts in flight continue, except a write
-   * that was not sent, as {@link UnfinishedWritePolicy} decides: it would have no held state left to fetch. When an attempt ends later, the
+   * Releases the held resources of a req because none of its attempts is known to be out. Attempts in flight continue, except a write that
+   * was not sent, as {@link UnfinishedWritePolicy} decides: it would have no held state left to fetch. When an attempt ends later, the
    * decision logic is told that the state is gone and may start a new read.
    */
   @Override
   public void releaseEarly(Req req) {
+    if (!req.mayHoldBesidesAttempts()) {
+      log.releasedBesideAttempt(req);
+      req.ledgersById.values().forEach(this::release);
+      reqChanged(req);
+      return;
+    }
     String path = req.attempts.stream().filter(Req.Attempt::inFlight).findFirst()
         .map(attempt -> attempt.path.name().toLowerCase(Locale.ROOT)).orElse("none");
     metrics.earlyRelease(path);
--- a/src/main/java/gapproxy/gateway/ReleaseWatch.java
+++ b/src/main/java/gapproxy/gateway/ReleaseWatch.java
@@ -2,6 +2,7 @@
 
 import gapproxy.runtime.Loop;
 import java.time.Duration;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -11,9 +12,10 @@
  *
  * <p>A resource may stay held while an attempt is in flight at its server. An attempt whose bytes never reached the server is no
  * reason for that, and no error reveals the loss: a connection may silently stop carrying data while the server still answers on others.
- * Therefore only {@link ArrivalEvidence} of the attempt itself counts. Without such evidence, the resource is released while there is still
- * time to do so, and the attempt continues: if it has arrived, the release spares what it is waiting for, and if it arrives later, it is
- * told that its state is gone.
+ * Therefore only {@link ArrivalEvidence} of the attempt itself counts, and only for as long as {@link EvidencePolicy} says, since the
+ * attempt may have ended and its answer been lost. Without such evidence, the resource is released while there is still time to do so, and
+ * the attempt continues: if it is out, the release spares what it is waiting for, and if it arrives later, it is told that its state is
+ * gone. While an attempt in flight may leave something, this is repeated.
  *
  * <p>Resources that no attempt will use any more are released at once. In both cases the release is repeated until the {@link
  * HeldResourceLedger} has proof that nothing is held.
@@ -26,11 +28,10 @@
 final class ReleaseWatch {
   private static final Logger LOG = LoggerFactory.getLogger(ReleaseWatch.class);
   /**
-   * Fractions of the release time after which a quiet server is probed, held resources are released, and an attempt at an unresponsive
-   * server is ended. The time left after the release is enough for three tries. The time between the probe and the end of the attempt
-   * allows for opening a connection to a busy server (250 ms has been seen) and for its answer.
+   * Fractions of the release time after which a quiet server is probed, and an attempt at an unresponsive server is ended. The time between
+   * the two allows for opening a connection to a busy server and for its answer.
    */
-  private static final double PROBE_FRACTION = 0.3, RELEASE_FRACTION = 0.6, END_FRACTION = 0.8;
+  private static final double PROBE_FRACTION = 0.3, END_FRACTION = 0.8;
   /**
    * The longest time until a server answers a reservation call: it waits 0.3 s for the read that belongs to the reservation, and may start
    * to hold the reservation as late as the end of that wait.
@@ -39,9 +40,12 @@
 
   /** The actions that the watch takes for a req. */
   interface Actions {
-    /** Releases the held resources of a req, since no evidence shows that one of its attempts has arrived. */
+    /** Releases the held resources of a req, since no evidence shows that one of its attempts is out. */
     void releaseEarly(Req req);
 
+    /** Asks again for the reservation beside a read in flight, if there is one, to learn whether the read is still out. */
+    void renewEvidence(Req req);
+
     /** Starts a release of resources that no attempt will use. */
     void release(HeldResourceLedger ledger);
 
@@ -53,7 +57,8 @@
   private final Servers servers;
   private final Actions actions;
   private final Predicate<Req> mayRetry;
-  private final Duration releaseTime, probeAfter, releaseAfter, endAfter;
+  private final EvidencePolicy evidence;
+  private final Duration releaseTime, probeAfter, endAfter;
 
   /**
    * @param releaseTime the longest time a resource may stay held without an attempt that is known to need it
@@ -65,13 +70,9 @@
     this.actions = actions;
     this.releaseTime = releaseTime;
     this.mayRetry = mayRetry;
-    probeAfter = fraction(releaseTime, PROBE_FRACTION);
-    releaseAfter = fraction(releaseTime, RELEASE_FRACTION);
-    endAfter = fraction(releaseTime, END_FRACTION);
-  }
-
-  private static Duration fraction(Duration of, double fraction) {
-    return Duration.ofNanos((long) (of.toNanos() * fraction));
+    evidence = new EvidencePolicy(releaseTime);
+    probeAfter = EvidencePolicy.fraction(releaseTime, PROBE_FRACTION);
+    endAfter = EvidencePolicy.fraction(releaseTime, END_FRACTION);
   }
 
   /** The timeout for the answer to a reservation. */
@@ -98,14 +99,24 @@
   /** @param since when the release time begins if it begins with this change */
   private void reqChanged(Req req, Duration since) {
     req.ledgersById.values().forEach(this::releaseUnused);
-    if (!req.mayUseHeldResource() || req.anyHeardOnOwnConnection()) {
+    if (!req.mayUseHeldResource() || req.isStreaming()) {
       stopWatching(req);
-    } else if (req.unconfirmedSince == null || req.releaseCheckTimer == null && !req.anyKnownArrived()) {
-      req.unconfirmedSince = since;
-      req.releaseCheckTimer = loop.after(since.plus(probeAfter).minus(loop.now()), () -> probe(req));
+      return;
+    }
+    Duration from = req.unconfirmedSince == null ? since : req.unconfirmedSince;
+    Duration unconfirmedSince = req.lastConfirmedAt != null && req.lastConfirmedAt.compareTo(from) > 0 ? req.lastConfirmedAt : from;
+    if (!unconfirmedSince.equals(req.unconfirmedSince)) {
+      stopWatching(req);
+      req.unconfirmedSince = unconfirmedSince;
+      schedule(req, probeAfter, this::probe);
     }
   }
 
+  /** Runs the next step for a req once something may have been held without evidence of an attempt for the given time. */
+  private void schedule(Req req, Duration after, Consumer<Req> step) {
+    req.releaseCheckTimer = loop.after(req.unconfirmedSince.plus(after).minus(loop.now()), () -> step.accept(req));
+  }
+
   /**
    * Releases at once what no attempt will use, and repeats the release while an event may still act on its server. Under an id that the
    * client gave, this includes what may be held while an answer is streaming, since the end of the stream may be lost.
@@ -116,11 +127,11 @@
       ledger.nextReleaseTimer = null;
     }
     Req req = ledger.req;
-    boolean streamInProgress = ledger.releasableAnywhere && req.streamingAttempt != null && req.streamingAttempt.inFlight();
+    boolean streamInProgress = ledger.releasableAnywhere && req.isStreaming();
     if (!ledger.isOpen() || ledger.releaseInProgress || !streamInProgress && req.mayUse(ledger)) {
       return;
     }
-    Duration due = ledger.releaseCoversAll() ? ledger.lastReleaseStartedAt().plus(releaseAfter) : loop.now();
+    Duration due = ledger.releaseDueAt(loop.now(), evidence.expireAfter());
     if (due.compareTo(loop.now()) <= 0) {
       actions.release(ledger);
     } else {
@@ -132,19 +143,21 @@
   void attemptSent(Req.Attempt attempt) {
     attempt.sentAt = loop.now();
     Req req = attempt.req;
-    if (req.unconfirmedSince != null && loop.now().minus(req.unconfirmedSince).compareTo(probeAfter) >= 0) {
+    if (req.mayHoldBesidesAttempts() && req.unconfirmedSince != null && loop.now().minus(req.unconfirmedSince).compareTo(probeAfter) >= 0) {
       probe(attempt);
     }
   }
 
   /**
    * Handles the answer "not known" to a reservation that was requested during a read: the server knew of no active read, or the read had
-   * ended first, and the server may hold the reservation even so. If nothing was received for the read, its connection is taken to
+   * ended first, and the server may hold the reservation even so. If nothing was received for the read since, its connection is taken to
    * have stopped carrying data.
+   *
+   * @param requestedAt when the reservation was requested
    */
-  void reservationNotKnown(Req.Attempt read) {
+  void reservationNotKnown(Req.Attempt read, Duration requestedAt) {
     Req req = read.req;
-    if (!read.inFlight() || read.arrivalEvidence != null) {
+    if (!read.inFlight() || req.lastConfirmedAt != null && req.lastConfirmedAt.compareTo(requestedAt) >= 0) {
       return;
     }
     // If the req must not be sent again, the read continues: it may still arrive, and no other attempt could follow.
@@ -165,14 +178,22 @@
     }
   }
 
-  /** Probes the servers of all attempts in flight that were sent, and schedules the early release. */
+  /** Probes the servers of attempts in flight, unless nothing but these attempts is a reason to release. */
   private void probe(Req req) {
-    req.releaseCheckTimer = loop.after(releaseAfter.minus(probeAfter), () -> releaseIfUnconfirmed(req));
-    req.attempts.stream().filter(attempt -> attempt.inFlight() && attempt.sentAt != null).toList().forEach(this::probe);
+    schedule(req, evidence.renewAfter(), this::renewEvidence);
+    if (req.mayHoldBesidesAttempts()) {
+      req.attempts.stream().filter(attempt -> attempt.inFlight() && attempt.sentAt != null && !attempt.probed).toList().forEach(this::probe);
+    }
+  }
+
+  private void renewEvidence(Req req) {
+    schedule(req, evidence.expireAfter(), this::releaseIfUnconfirmed);
+    actions.renewEvidence(req);
   }
 
   private void probe(Req.Attempt attempt) {
     Duration probeStartedAt = loop.now();
+    attempt.probed = true;
     loop.after(endAfter.minus(probeAfter), () -> endIfUnresponsive(attempt));
     servers.checkReachable(attempt.server.address(), answers -> {
       LOG.atInfo().addKeyValue("request_id", Gateway.requestId(attempt.req)).addKeyValue("server", attempt.server.address())
@@ -182,15 +203,11 @@
     });
   }
 
-  /** Releases what is held for a req unless one of its attempts is known to have arrived. */
+  /** Releases what may be held for a req unless newer evidence of one of its attempts has come. */
   private void releaseIfUnconfirmed(Req req) {
+    Duration before = req.unconfirmedSince;
     reqChanged(req);
-    if (req.unconfirmedSince == null) {
-      return;
-    }
-    req.releaseCheckTimer.cancel();
-    req.releaseCheckTimer = null;
-    if (!req.anyKnownArrived()) {
+    if (req.unconfirmedSince != null && req.unconfirmedSince.equals(before)) {
       stopWatching(req);
       actions.releaseEarly(req);
     }
--- a/src/main/java/gapproxy/gateway/Releases.java
+++ b/src/main/java/gapproxy/gateway/Releases.java
@@ -53,6 +53,7 @@
   private final Metrics metrics;
   private final Listener listener;
   private final Map<InetSocketAddress, UnresponsiveServer> unresponsiveServers = new HashMap<>();
+  private final Map<HeldResourceLedger, ReleaseRound> rounds = new HashMap<>();
   private Acknowledgement lastAcknowledgement;
 
   /** The last release that a server acknowledged. */
@@ -90,7 +91,18 @@
     if (unreachableServer != null) {
       unreachableServer.add(ledger);
     } else {
-      new ReleaseRound(ledger).begin();
+      ReleaseRound round = new ReleaseRound(ledger);
+      rounds.put(ledger, round);
+      round.begin();
+    }
+  }
+
+  /** Makes no further calls for a ledger, since what it records is of use again. Calls in flight can't be taken back. */
+  void cancel(HeldResourceLedger ledger) {
+    ReleaseRound round = rounds.get(ledger);
+    if (round != null) {
+      round.done = true;
+      endRound(ledger);
     }
   }
 
@@ -110,7 +122,7 @@
   private ReleaseCall call(HeldResourceLedger ledger, InetSocketAddress address, Duration timeout, boolean newConnection,
       Consumer<Boolean> callback) {
     Duration startedAt = loop.now();
-    boolean repeated = ledger.lastReleaseStartedAt() != null;
+    boolean repeated = ledger.lastReleaseStartedAt() != null && ledger.mayHoldBesidesAttempts();
     ReleaseCall call = new ReleaseCall(address, newConnection || repeated || unresponsiveServers.containsKey(address), startedAt);
     LOG.atDebug().addKeyValue("request_id", ledger.id).addKeyValue("server", address).log("release sent");
     servers.release(address, ledger.id, timeout, call.newConnection, acknowledged -> {
@@ -355,6 +367,7 @@
   }
 
   private void endRound(HeldResourceLedger ledger) {
+    rounds.remove(ledger);
     ledger.releaseInProgress = false;
     listener.ended(ledger);
   }
@@ -362,6 +375,7 @@
   private void giveUp(HeldResourceLedger ledger) {
     LOG.atWarn().addKeyValue("engine", ledger.serversToRelease()).addKeyValue("id", ledger.id)
         .log("giving up a release: no server acknowledged it");
+    rounds.remove(ledger);
     ledger.releaseInProgress = false;
     listener.releaseGivenUp(ledger);
   }
--- a/src/main/java/gapproxy/gateway/Req.java
+++ b/src/main/java/gapproxy/gateway/Req.java
@@ -41,6 +41,10 @@
     Duration sentAt;
     /** What shows that the attempt has arrived at its server, or null. */
     ArrivalEvidence arrivalEvidence;
+    /** The ledger entry that stands for this attempt while it is in flight, or null. */
+    HeldResourceLedger.Entry inFlightEntry;
+    /** Whether its server has been probed since the attempt was sent. */
+    boolean probed;
     /** Whether the server has answered a probe since the attempt was sent. */
     boolean serverResponsive;
     /** Whether the attempt was in flight during a release, which may have spared the resources that it waits for. */
@@ -144,7 +148,9 @@
   Duration lastUnansweredReadCloseAt;
   /** When the client closed its connection, or null. */
   Duration clientClosedAt;
-  /** Since when something is held while no attempt is known to have arrived, or null. */
+  /** When an attempt was last known to be out at its server, or to have ended there with an answer; or null. */
+  Duration lastConfirmedAt;
+  /** Since when something may be held while no attempt is known to be out at its server, or null. */
   Duration unconfirmedSince;
   Loop.Timer releaseCheckTimer;
   /** Whether the server has granted the reservation. */
@@ -200,14 +206,19 @@
     return attempts.stream().anyMatch(Attempt::inFlight);
   }
 
-  /** Whether data was received on the own connection of an attempt in flight. */
-  boolean anyHeardOnOwnConnection() {
-    return attempts.stream().anyMatch(a -> a.inFlight() && a.arrivalEvidence == ArrivalEvidence.OWN_CONNECTION);
+  /** Whether an answer is being received. */
+  boolean isStreaming() {
+    return streamingAttempt != null && streamingAttempt.inFlight();
   }
 
-  /** Whether an attempt in flight is known to have arrived at its server. */
-  boolean anyKnownArrived() {
-    return attempts.stream().anyMatch(a -> a.inFlight() && a.arrivalEvidence != null);
+  /** Whether something may be held for another reason than the attempts in flight. */
+  boolean mayHoldBesidesAttempts() {
+    return ledgersById.values().stream().anyMatch(HeldResourceLedger::mayHoldBesidesAttempts);
+  }
+
+  /** Records that an attempt was out at its server at a time, or ended there then with an answer. */
+  void confirmed(Duration at) {
+    lastConfirmedAt = lastConfirmedAt == null || lastConfirmedAt.compareTo(at) < 0 ? at : lastConfirmedAt;
   }
 
   /** The stage that follows from the attempts in flight and the held state. */
--- a/src/main/java/gapproxy/gateway/SendGuard.java
+++ b/src/main/java/gapproxy/gateway/SendGuard.java
@@ -146,7 +146,7 @@
    */
   void heldTooLong(HeldClock.ReportedHold hold, Duration held) {
     violation(Rule.HELD_TOO_LONG, Gateway.requestId(hold.req), hold.server,
-        "reported as held, and for " + held.toMillis() + " ms neither known to be released nor any attempt known to have arrived");
+        "reported as held, and for " + held.toMillis() + " ms neither known to be released nor any attempt known to be out");
   }
 
   /**
--- a/src/main/java/gapproxy/soak/SoakBackends.java
+++ b/src/main/java/gapproxy/soak/SoakBackends.java
@@ -223,16 +223,10 @@
     }
 
     /**
-     * Records that an attempt has ended at its server. On a silenced connection the gateway can't learn of the end, so the attempt
-     * counts as running until the gateway closes the connection: the release time runs from the outcome that the gateway sees.
+     * Records that an attempt has ended at its server, whether or not the gateway can learn of the end: what it left is held from then on.
      */
-    private void recordAttemptEnd(Exchange exchange, String id) {
-      int port = ((InetSocketAddress) exchange.connection().getPeerAddress()).getPort();
-      if (silenceState.apply(port) == FaultProxy.SilenceState.OPEN) {
-        loop.after(POLL_INTERVAL, () -> recordAttemptEnd(exchange, id));
-      } else {
-        judge.audit.ended(loop.now(), number, id);
-      }
+    private void recordAttemptEnd(String id) {
+      judge.audit.ended(loop.now(), number, id);
     }
 
     private void chat(Exchange exchange, int gateway, String id) {
@@ -268,7 +262,7 @@
         completedReads.add(id);
         hold(gateway, id);
       }
-      recordAttemptEnd(exchange, id);
+      recordAttemptEnd(id);
       exchange.respond(fails ? 500 : 503, fails ? JSON : DECLINED, NONE);
     }
 
@@ -296,7 +290,7 @@
         hold(gateway, id);
       }
       runDeferredRelease(id);
-      recordAttemptEnd(exchange, id);
+      recordAttemptEnd(id);
     }
 
     /** Waits for the write's turn, for some writes a long time, and then fetches the state from its reader. */
@@ -311,7 +305,7 @@
       }, () -> {
         waitingWrites.merge(id, -1, SoakBackends::decrement);
         runDeferredRelease(id);
-        recordAttemptEnd(exchange, id);
+        recordAttemptEnd(id);
         exchange.terminate();
       }));
     }
@@ -351,7 +345,7 @@
     private void fetch(Exchange exchange, String id, int startGeneration, Duration arrivedAt) {
       boolean stateHeld = servers.stream().anyMatch(m -> m.reader && m.held.contains(id));
       if (!stateHeld && completedReads.contains(id)) {
-        recordAttemptEnd(exchange, id);
+        recordAttemptEnd(id);
         exchange.respond(410, DECLINED, NONE);
         return;
       }
@@ -400,7 +394,7 @@
           return false;
         }
         streamRecord.endedByServer |= generation != startGeneration;
-        recordAttemptEnd(exchange, id);
+        recordAttemptEnd(id);
         exchange.terminate();
         return true;
       }
@@ -444,7 +438,7 @@
       private void end() {
         streamRecord.endedByServer = true;
         exchange.end();
-        recordAttemptEnd(exchange, id);
+        recordAttemptEnd(id);
       }
 
       /** Writes what belongs to the fault, and then goes on, or leaves the answer open. */
