--- a/src/main/java/gapproxy/gateway/HeldResources.java
+++ b/src/main/java/gapproxy/gateway/HeldResources.java
@@ -145,6 +145,15 @@
     }
   }
 
+  /**
+   * Until when an attempt that is closed now without an answer may act on its server. A close on a connection that carries no data never
+   * arrives, but no server works on an attempt past the deadline that it was told.
+   */
+  private Duration lastActionOf(Req.Attempt attempt) {
+    Duration closeSeen = loop.now().plus(maxCloseDelay);
+    return attempt.serverDeadline != null && attempt.serverDeadline.compareTo(closeSeen) > 0 ? attempt.serverDeadline : closeSeen;
+  }
+
   private static void removeInFlightEntry(Req.Attempt attempt) {
     if (attempt.inFlightEntry != null) {
       attempt.inFlightEntry.remove();
@@ -167,7 +176,7 @@
         || req.clientRequestId != null && heldLedger != null && (heldLedger.isOpen() || attempt.answerBegun);
     // After a break, or the client's close, a single release is made: each client that leaves would cost several otherwise.
     boolean over = answered || attempt.answerBegun && attempt.outcome != Outcome.TIMED_OUT;
-    Duration mayActUntil = over ? loop.now() : loop.now().plus(maxCloseDelay);
+    Duration mayActUntil = over ? loop.now() : lastActionOf(attempt);
     if (mayLeaveState || mayRetain) {
       recordMayHold(req, attempt.server, attempt.serverRequestId, mayActUntil, over);
     } else if (req.clientRequestId != null && !over) {
--- a/src/test/java/gapproxy/gateway/GatewayHarness.java
+++ b/src/test/java/gapproxy/gateway/GatewayHarness.java
@@ -160,12 +160,15 @@
     final List<Integer> reservationPorts = new ArrayList<>();
     final List<String> releases = new ArrayList<>();
     Runnable onRead = () -> { };
+    /** How long the last read's server was told to work on it. */
+    Duration lastReadTimeout;
     /** Whether probes get no response. */
     boolean probesUnanswered;
 
     @Override
     public HttpClient.Call read(InetSocketAddress server, String id, ClientReq req, Duration timeout, ReadListener listener) {
       reads.add(listener);
+      lastReadTimeout = timeout;
       onRead.run();
       return call();
     }
--- a/src/test/java/gapproxy/gateway/GatewayRaceTest.java
+++ b/src/test/java/gapproxy/gateway/GatewayRaceTest.java
@@ -271,6 +271,30 @@
     assertEquals(1, servers.reads.size(), "the read goes on");
   }
 
+  /**
+   * The close of a read on a connection that carries no data never arrives, so the read may end well as late as the deadline that its server
+   * was told: its state was held for 27 s, as the releases had ended before.
+   */
+  @Test
+  void releaseIsRepeatedUntilTheDeadlineThatTheServerOfAnUnansweredReadWasTold() throws Exception {
+    start("read_like", Duration.ofMillis(250), false, servers);
+    FakeReq req = sendReq();
+    Duration deadline = loop.now().plus(servers.lastReadTimeout);
+    servers.reads.get(0).sent();
+    advance(TICK);
+    servers.reservations.get(0).answered(Servers.ReservationResult.NOT_KNOWN);
+    req.disconnectHandler.run();
+    advance(deadline.minus(loop.now()));
+    int untilDeadline = servers.releases.size();
+    advance(Duration.ofMillis(250));
+    assertTrue(servers.releases.size() > untilDeadline, "none after " + deadline);
+    advance(Duration.ofSeconds(1));
+    int afterDeadline = servers.releases.size();
+    advance(Duration.ofSeconds(5));
+    assertEquals(afterDeadline, servers.releases.size());
+    assertTrue(servers.lastReadTimeout.compareTo(Duration.ofMillis(1250)) > 0, "the close counts as seen by then");
+  }
+
   /** Lets the first read break with its reservation call unanswered, so that it is retried with a second reservation call. */
   private void retryReadWithEarlierReservationUnanswered() {
     sendReq();
