Call the server first for a release that was heard last

Cause: servers whose own acknowledgement is missing were named before all others.

Change: where any server can release, the one of the ledger's servers that was heard last is called first; the others as before, once their acknowledgement settles something.

--- a/src/main/java/gapproxy/gateway/HeldResourceLedger.java
+++ b/src/main/java/gapproxy/gateway/HeldResourceLedger.java
@@ -209,6 +209,11 @@
     return unanswered.isEmpty() ? entries.stream().limit(1).map(entry -> entry.server.address()).toList() : unanswered;
   }
 
+  /** The servers of all entries. */
+  List<InetSocketAddress> servers() {
+    return entries.stream().map(entry -> entry.server.address()).distinct().toList();
+  }
+
   /** Whether the acknowledgement of a release by this server that is started now would settle an entry that no other server's would. */
   boolean needsAcknowledgementOf(InetSocketAddress address, Duration now) {
     return entries.stream()
--- a/src/main/java/gapproxy/gateway/Releases.java
+++ b/src/main/java/gapproxy/gateway/Releases.java
@@ -172,14 +172,22 @@
   private final class ReleaseRound {
     private final HeldResourceLedger ledger;
     private final List<ReleaseCall> callsMade = new ArrayList<>();
-    /** The servers that the ledger names for the release, see {@link HeldResourceLedger#serversToRelease}. */
+    /**
+     * The servers that the ledger names for the release, see {@link HeldResourceLedger#serversToRelease}. Where any server can release, the
+     * one that is most likely reachable comes first, since a server that has not answered may be the one that is cut off.
+     */
     private final List<InetSocketAddress> ownServers;
     private boolean done;
     private int waves, othersCalled;
 
     ReleaseRound(HeldResourceLedger ledger) {
       this.ledger = ledger;
-      ownServers = ledger.serversToRelease();
+      Set<InetSocketAddress> ordered = new LinkedHashSet<>();
+      if (ledger.releasableAnywhere) {
+        ordered.addAll(servers.mostReachableFirst(ledger.servers()).subList(0, 1));
+      }
+      ordered.addAll(ledger.serversToRelease());
+      ownServers = List.copyOf(ordered);
     }
 
     void begin() {
--- a/src/test/java/gapproxy/gateway/ReleasesTest.java
+++ b/src/test/java/gapproxy/gateway/ReleasesTest.java
@@ -1,6 +1,7 @@
 package gapproxy.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gapproxy.api.Settings.Role;
 import gapproxy.engine.EngineFailure;
@@ -158,4 +159,25 @@
     assertEquals(List.of(1, 9, 5, 4, 3, 6), calledPorts);
     assertEquals(true, inTime);
   }
+
+  /** The first call went to the server that had not answered, though the state was held by one that answered a moment before. */
+  @Test
+  void releaseCallsTheServerFirstThatWasHeardLast() throws Exception {
+    LiveLoop loop = new LiveLoop("held");
+    PartitionedServers servers = new PartitionedServers();
+    Releases releases = releases(servers, loop, List.of(List.of(address(9))));
+    loop.execute(() -> {
+      HeldResourceLedger ledger = ledger(loop);
+      ledger.recordMayHold(new Fleet.Server(GatewayHarness.entry(6, "reading", "READY", null), 0, 0, Role.READ, null), loop.now(),
+          loop.now().plusSeconds(1), true);
+      releases.begin(ledger);
+    });
+    boolean inTime = servers.releaseReached.await(RELEASE_TIME.toMillis(), TimeUnit.MILLISECONDS);
+    List<Integer> calledPorts = new ArrayList<>();
+    loop.runAndWait(() -> calledPorts.addAll(servers.calledPorts));
+    loop.close();
+    assertEquals(6, calledPorts.get(calledPorts.size() - 1));
+    assertEquals(true, inTime);
+    assertTrue(calledPorts.size() <= 2, "called " + calledPorts);
+  }
 }
