Play machines that can't be reached, and servers that hang; write the postmortem

FaultProxy.UNREACHABLE: new connections never come up, as the queue of a listening socket is full (a test of its own). HeldStatePlay uses it for cuts and for machines that vanish, plays servers that hang, and its stand-ins drop attempts over their deadline. No code of the gateway is changed.

--- a/src/main/java/gapproxy/soak/FaultProxy.java
+++ b/src/main/java/gapproxy/soak/FaultProxy.java
@@ -1,6 +1,7 @@
 package gapproxy.soak;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
@@ -36,6 +37,8 @@
     LATE,
     /** Forwards nothing and reports no error. Open connections are reset when the mode ends. */
     SILENT,
+    /** As {@link #SILENT}, and new connections never come up, as to a machine that can't be reached. */
+    UNREACHABLE,
     /** Resets open connections, and new ones as soon as they are accepted. */
     RESET,
     /**
@@ -74,6 +77,8 @@
   private static final long MAX_CONNECT_DELAY_NANOS = 1_000_000_000L;
   // In mode DECLINE_EARLY: the buffer of a connection, the length from which a request is turned away, that from which the rest is read late,
   // and how late
+  // length of a hop's queue of connections that are not accepted yet, and in mode UNREACHABLE, where it is filled with a few of its own
+  private static final int ACCEPT_QUEUE = 512, SHORT_ACCEPT_QUEUE = 1, QUEUE_FILLERS = 4, BIND_TRIES = 1000;
   private static final int SMALL_BUFFER_BYTES = 4 << 10, USUAL_BUFFER_BYTES = 128 << 10, LONG_BODY_BYTES = 2 << 10, LATE_BODY_BYTES = 192 << 10;
   private static final long LATE_READ_NANOS = 300_000_000L;
   private static final Pattern CONTENT_LENGTH = Pattern.compile("(?i)\r\ncontent-length: *(\\d+)\r\n");
@@ -98,8 +103,10 @@
 
   /** One listening port and the address that it forwards to. */
   final class Hop {
-    private final ServerSocketChannel listener;
+    private ServerSocketChannel listener;
+    private final int port;
     private final InetSocketAddress target;
+    private final List<SocketChannel> queueFillers = new ArrayList<>();
     private final List<Connection> connections = new ArrayList<>();
     private volatile Mode mode = Mode.PASS;
     // Shares of the open connections to silence; applied once and then set back to 0
@@ -108,13 +115,54 @@
 
     private Hop(InetSocketAddress target) throws IOException {
       this.target = target;
-      listener = ServerSocketChannel.open();
-      listener.bind(new InetSocketAddress("127.0.0.1", 0), 512);
-      listener.configureBlocking(false);
+      listener = listen(0, ACCEPT_QUEUE);
+      port = listener.socket().getLocalPort();
     }
 
     int port() {
-      return listener.socket().getLocalPort();
+      return port;
+    }
+
+    private ServerSocketChannel listen(int atPort, int queue) throws IOException {
+      for (int tries = 1;; tries++) {
+        ServerSocketChannel channel = ServerSocketChannel.open();
+        try {
+          channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+          channel.bind(new InetSocketAddress("127.0.0.1", atPort), queue);
+          channel.configureBlocking(false);
+          return channel;
+        } catch (BindException e) {
+          channel.close();
+          if (tries == BIND_TRIES) {
+            throw e;
+          }
+          selector.selectNow();                               // the system has not let go of the port yet
+        }
+      }
+    }
+
+    /** Accepts nothing more and fills the queue, so that the system drops the first packet of each new connection. */
+    private void stopAccepting() throws IOException {
+      listener.close();
+      selector.selectNow();                                   // the port is free once the selector has let go of the channel
+      listener = listen(port, SHORT_ACCEPT_QUEUE);
+      for (int i = 0; i < QUEUE_FILLERS; i++) {
+        SocketChannel filler = SocketChannel.open();
+        filler.configureBlocking(false);
+        filler.connect(new InetSocketAddress("127.0.0.1", port));
+        queueFillers.add(filler);
+      }
+    }
+
+    private void acceptAgain() throws IOException {
+      for (SocketChannel filler : queueFillers) {
+        filler.close();
+      }
+      queueFillers.clear();
+      listener.close();
+      selector.selectNow();
+      listener = listen(port, ACCEPT_QUEUE);
+      listener.register(selector, SelectionKey.OP_ACCEPT, this);
     }
 
     void setMode(Mode to) {
@@ -232,7 +280,7 @@
 
     /** Whether neither bytes nor an end of input are read or forwarded now. */
     boolean stalled() {
-      return silent || hop.mode == Mode.SILENT;
+      return silent || hop.mode == Mode.SILENT || hop.mode == Mode.UNREACHABLE;
     }
 
     void reset() {
@@ -265,7 +313,7 @@
       longestIterationNanos = Math.max(longestIterationNanos, now - last);
       last = now;
       for (Hop h : hops) {
-        if (h.listener.keyFor(selector) == null) {
+        if (h.listener.keyFor(selector) == null && h.appliedMode != Mode.UNREACHABLE) {
           h.listener.register(selector, SelectionKey.OP_ACCEPT, h);
         }
         applyMode(h);
@@ -287,11 +335,16 @@
     if (now != hop.appliedMode) {
       Mode before = hop.appliedMode;
       hop.appliedMode = now;
+      if (now == Mode.UNREACHABLE) {
+        hop.stopAccepting();
+      } else if (before == Mode.UNREACHABLE) {
+        hop.acceptAgain();
+      }
       if (now == Mode.DECLINE_EARLY || before == Mode.DECLINE_EARLY) {
         // New connections inherit it from their first packet on, so that their gateways' buffers stay small as well.
         hop.listener.setOption(StandardSocketOptions.SO_RCVBUF, now == Mode.DECLINE_EARLY ? SMALL_BUFFER_BYTES : USUAL_BUFFER_BYTES);
       }
-      if (now == Mode.RESET || before == Mode.SILENT) {
+      if (now == Mode.RESET || before == Mode.SILENT || before == Mode.UNREACHABLE) {
         injectedFaults.addAndGet(hop.connections.size());
         List.copyOf(hop.connections).forEach(Connection::reset);
       } else if (now == Mode.HALF_CLOSE) {
@@ -436,6 +489,9 @@
 
   /** Accepts all pending connections: accepting one in each iteration would make a client wait behind many idle connections. */
   private void acceptAll(Hop hop) throws IOException {
+    if (hop.appliedMode == Mode.UNREACHABLE) {
+      return;
+    }
     for (SocketChannel c = hop.listener.accept(); c != null; c = hop.listener.accept()) {
       accept(hop, c);
     }
@@ -579,6 +635,9 @@
     }
     for (Hop h : hops) {
       h.listener.close();
+      for (SocketChannel filler : h.queueFillers) {
+        filler.close();
+      }
       List.copyOf(h.connections).forEach(Connection::reset);
     }
     selector.close();
--- a/src/test/java/gapproxy/soak/FaultProxyTest.java
+++ b/src/test/java/gapproxy/soak/FaultProxyTest.java
@@ -123,4 +123,23 @@
     }
     assertNull(proxy.failure());
   }
+
+  @Test
+  void newConnectionsDoNotComeUpWhileUnreachable() throws Exception {
+    InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), hop.port());
+    hop.setMode(Mode.UNREACHABLE);
+    Thread.sleep(SILENT_MS);
+    try (Socket socket = new Socket()) {
+      assertThrows(SocketTimeoutException.class, () -> socket.connect(address, SILENT_MS));
+    }
+    hop.setMode(Mode.PASS);
+    Thread.sleep(SILENT_MS);
+    try (Socket socket = new Socket()) {
+      socket.connect(address, TIMEOUT_MS);
+      socket.setSoTimeout(TIMEOUT_MS);
+      socket.getOutputStream().write(7);
+      assertEquals(7, socket.getInputStream().read());
+    }
+    assertNull(proxy.failure());
+  }
 }
--- a/src/test/java/gapproxy/soak/HeldStatePlay.java
+++ b/src/test/java/gapproxy/soak/HeldStatePlay.java
@@ -52,7 +52,9 @@
     /** The servers of two of three zones can't be reached for 1.4 s, and go on. */
     ZONES_CUT_OFF,
     /** Three in five server processes end and start again at once. */
-    PROCESSES_RESTART
+    PROCESSES_RESTART,
+    /** Half of the servers hang for 1.4 s, and then do what has come meanwhile. */
+    SERVERS_HANG
   }
 
   /**
@@ -111,6 +113,7 @@
 
   private static final Map<String, String> JSON = Map.of("content-type", "application/json"), DECLINED = Map.of("srv-declined", "1");
   private static final byte[] NONE = new byte[0];
+  private static final byte[] LOAD = "{\"outstanding\":1,\"backlog\":0,\"x0\":0.1,\"x1\":0}".getBytes(StandardCharsets.UTF_8);
   /** What the protocol's page gives beyond the release time, and what the stand-ins themselves may add. */
   private static final Duration SOCKET_SLACK = Duration.ofMillis(300), MEASURING_TOLERANCE = Duration.ofMillis(20);
   private static final Duration UNKNOWN_READ_WAIT = Duration.ofMillis(300), POLL_INTERVAL = Duration.ofMillis(10), SHORT_OUTAGE = Duration.ofMillis(1400),
@@ -132,6 +135,7 @@
   /** By server: how often it has vanished or restarted. An attempt of an earlier life does nothing more. */
   private final int[] lives = new int[2 * SERVERS_OF_ROLE];
   private final boolean[] vanished = new boolean[2 * SERVERS_OF_ROLE];
+  private final Duration[] hangsUntil = new Duration[2 * SERVERS_OF_ROLE];
   private final Map<String, Integer> readsSeen = new HashMap<>(), releasesSeen = new HashMap<>(), reservationsSeen = new HashMap<>();
   /** By request: the running servers at which a read is out, and those at which a write waits for its state. */
   private final Map<String, List<Integer>> readsOut = new HashMap<>(), waitingWrites = new HashMap<>();
@@ -209,6 +213,9 @@
     }
     Thread.sleep(SETTLE_TIME.toMillis());
     ending = true;
+    if (proxy.failure() != null) {
+      throw new IllegalStateException("the fault proxy has failed", proxy.failure());
+    }
     Result[] result = new Result[1];
     loop.runAndWait(() -> result[0] = new Result(requests.get(), whole.get(), heldTimes.finish(), heldTimes.longest(),
         (int) readsSeen.values().stream().filter(count -> count > 1).count(), most(releasesSeen), most(reservationsSeen),
@@ -225,12 +232,15 @@
   private boolean serve(ModelServer server, Exchange exchange) {
     int number = site.modelServers.indexOf(server);
     String path = exchange.request().path();
-    if (vanished[number]) {
+    if (hangsUntil[number] != null && loop.now().compareTo(hangsUntil[number]) < 0) {
+      loop.after(hangsUntil[number].minus(loop.now()), () -> serve(server, exchange));
+      return true;
+    } else if (vanished[number] || !exchange.isOpen()) {
       return true;                                            // nothing comes back
     } else if (path.startsWith("/kv/leases/")) {
       lease(number, exchange, path.substring("/kv/leases/".length()));
     } else if (exchange.request().header("req-id") == null) {
-      return false;
+      exchange.respond(200, JSON, LOAD);
     } else if (server.reader) {
       read(number, exchange, exchange.request().header("req-id"));
     } else {
@@ -302,6 +312,7 @@
       return true;
     };
     exchange.onDisconnect(() -> end.test("read is given up"));
+    loop.after(deadlineOf(exchange), () -> end.test("read is over its deadline"));
     loop.after(takes, () -> {
       if (end.test("read ends") && lives[server] == life) {
         readOnce.add(id);
@@ -311,6 +322,11 @@
     });
   }
 
+  /** The time that the gateway told to wait, after which a server drops an attempt. */
+  private static Duration deadlineOf(Exchange exchange) {
+    return Duration.ofMillis(Long.parseLong(exchange.request().headers().getOrDefault("req-deadline-ms", "5000")));
+  }
+
   private void write(int server, Exchange exchange, String id) {
     int life = lives[server];
     HeldTimes.Attempt attempt = heldTimes.attemptArrived(id, server, "write");
@@ -327,6 +343,12 @@
       endOfWait.run();
       heldTimes.attemptEnded(attempt, "write is given up");
     });
+    loop.after(deadlineOf(exchange), () -> {
+      if (waiting[0]) {
+        endOfWait.run();
+        heldTimes.attemptEnded(attempt, "write is over its deadline");
+      }
+    });
     loop.after(waits, () -> {
       boolean wasWaiting = waiting[0];
       endOfWait.run();
@@ -379,6 +401,12 @@
         cutOff(number -> number % ZONES.length != left, SHORT_OUTAGE, false);
       }
       case PROCESSES_RESTART -> restart(number -> random.nextDouble() < 0.6);
+      case SERVERS_HANG -> {
+        Duration until = loop.now().plus(SHORT_OUTAGE);
+        for (int i = 0; i < hangsUntil.length; i++) {
+          hangsUntil[i] = random.nextBoolean() ? until : hangsUntil[i];
+        }
+      }
     }
   }
 
@@ -388,7 +416,7 @@
       if (vanished[server] || !chosen.test(server)) {
         continue;
       }
-      hops.get(server).setMode(FaultProxy.Mode.SILENT);
+      hops.get(server).setMode(FaultProxy.Mode.UNREACHABLE);
       if (vanish) {
         vanished[server] = true;
         endLife(server);
