--- a/src/test/java/gapproxy/soak/SoakTest.java
+++ b/src/test/java/gapproxy/soak/SoakTest.java
@@ -213,7 +213,7 @@
   @Execution(ExecutionMode.CONCURRENT)
   void plantedTrustInFirstTokenIsFound() throws Exception {
     Path classes = SourceMutation.compile(dir, List.of(new SourceMutation("gateway/HeldResources.java",
-        "if (neverReachedServer || attempt.outcome == Outcome.DONE) {", "if (neverReachedServer || attempt.answerBegun) {")));
+        "if (!neverReachedServer && attempt.outcome != Outcome.DONE) {", "if (!neverReachedServer && !attempt.answerBegun) {")));
     try (Soak soak = new Soak(oddStreamPlan(), dir, "", Set.of())) {
       soak.overrideGatewayClasses(classes);
       assertFound(soak.run(), List.of(5), List.of());
